--- /dev/null
+++ b/core/entry/entry.go
@@ -0,0 +1,391 @@
+// Package entry takes a request from a door to the home of a backend server:
+// it applies the policy, sheds under pressure, routes, retries within the
+// request's purse and answers with a verdict.
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaseltack"
+	"teaseltack/core/claim"
+	"teaseltack/core/home"
+	"teaseltack/core/press"
+	"teaseltack/core/purse"
+	"teaseltack/core/ratio"
+	"teaseltack/core/route"
+	"teaseltack/core/scope"
+)
+
+const (
+	// keptBack is the number of retries that an entry keeps for itself when it
+	// moves the others down the chain.
+	keptBack = 1
+	// pressureDelay is the time after which a call shed at the root may try
+	// again.
+	pressureDelay = 200 * time.Millisecond
+)
+
+// Config sets up an entry.
+type Config struct {
+	Timers   teaseltack.Timers
+	Source   teaseltack.Source
+	Host     teaseltack.HostID
+	Policies teaseltack.Policies
+	Router   *route.Router
+	Pressure *press.Table
+	Scopes   *scope.Table
+	Homes    teaseltack.Homes
+	// Local is the home of the same host, or nil.
+	Local *home.Home
+	// Claims binds bare keys; nil refuses them.
+	Claims *claim.Claims
+	// Observe is told each refusal and each retry; it may be nil.
+	Observe Observer
+	// Greedy retries without purse or ratio and ignores pressure, for the
+	// baseline of a measurement.
+	Greedy bool
+}
+
+// Observer counts what an entry decides.
+type Observer interface {
+	Answered(target teaseltack.Target, class teaseltack.Class, answer *teaseltack.Answer)
+	Retried(target teaseltack.Target)
+}
+
+// Entry serves requests. It is safe for concurrent use.
+type Entry struct {
+	cfg     Config
+	mu      sync.Mutex
+	budgets map[teaseltack.Target]*ratio.Budget
+}
+
+// New returns an entry.
+func New(cfg Config) *Entry {
+	return &Entry{cfg: cfg, budgets: map[teaseltack.Target]*ratio.Budget{}}
+}
+
+// journey is one request on its way through this entry.
+type journey struct {
+	call   teaseltack.Call
+	policy teaseltack.Policy
+	purse  *purse.Purse
+	budget *ratio.Budget
+	parent *scope.Scope
+	key    string
+	tried  []teaseltack.HostID
+	// doubt is set once an attempt may have run.
+	doubt bool
+}
+
+// Serve answers one arrival. The answer always carries a verdict.
+func (e *Entry) Serve(ctx context.Context, a *teaseltack.Arrival) *teaseltack.Answer {
+	j, refusal := e.prepare(a)
+	if refusal != nil {
+		answer := &teaseltack.Answer{ID: a.ID, Refusal: refusal}
+		e.report(a.Target, a.Class, answer)
+		return answer
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.call.Deadline.Sub(e.cfg.Timers.Now()))
+	defer cancel()
+	if j.parent != nil {
+		stop := context.AfterFunc(j.parent.Context, cancel)
+		defer stop()
+	}
+	answer := e.serve(ctx, j)
+	e.finish(j, answer)
+	return answer
+}
+
+func (e *Entry) report(target teaseltack.Target, class teaseltack.Class, answer *teaseltack.Answer) {
+	if e.cfg.Observe != nil {
+		e.cfg.Observe.Answered(target, class, answer)
+	}
+}
+
+// finish gives unused retries back to the parent and notes its trouble.
+func (e *Entry) finish(j *journey, answer *teaseltack.Answer) {
+	const firstServerError = 500
+	left := j.purse.Close()
+	answer.RetriesLeft = left
+	if j.parent != nil {
+		j.parent.Purse.Return(left, left)
+		if answer.Refusal != nil || answer.Status >= firstServerError {
+			j.parent.Troubled.Store(true)
+		}
+	}
+	if answer.Refusal != nil && answer.Refusal.Verdict == teaseltack.NotRun && j.doubt {
+		doubtful := *answer.Refusal
+		doubtful.Verdict = teaseltack.MayHaveRun
+		answer.Refusal = &doubtful
+	}
+	e.report(j.call.Target, j.call.Priority.Class, answer)
+}
+
+// prepare applies the policy or the parent's context to an arrival.
+func (e *Entry) prepare(a *teaseltack.Arrival) (*journey, *teaseltack.Refusal) {
+	policy, known := e.cfg.Policies.Policy(a.Target)
+	if !known {
+		return nil, teaseltack.Refuse(teaseltack.ReasonUnknownTarget, "no policy for %s", a.Target)
+	}
+	j := &journey{policy: policy, key: a.Key, budget: e.budget(a.Target)}
+	j.call = teaseltack.Call{
+		ID:            a.ID,
+		Nonce:         e.nonce(),
+		Target:        a.Target,
+		NonIdempotent: policy.NonIdempotent,
+		Attempt:       a.Attempt,
+		Ticket:        a.Ticket,
+		Key:           a.Key,
+		Payload:       a.Payload,
+	}
+	now := e.cfg.Timers.Now()
+	lifetime := policy.Lifetime
+	if a.Lifetime > 0 {
+		lifetime = min(lifetime, a.Lifetime)
+	}
+	j.call.Deadline = now.Add(lifetime)
+	if a.Nested {
+		e.inherit(j, a, now)
+		return j, e.checkTime(j, now)
+	}
+	return j, e.applyRoot(j, a)
+}
+
+func (e *Entry) checkTime(j *journey, now time.Time) *teaseltack.Refusal {
+	if !now.Before(j.call.Deadline) {
+		return teaseltack.Refuse(teaseltack.ReasonLifetime, "the parent call has no time left")
+	}
+	return nil
+}
+
+// inherit takes class, rank, lifetime and retries from the parent's scope. A
+// nested call whose parent is unknown gets the lowest class and no retries.
+func (e *Entry) inherit(j *journey, a *teaseltack.Arrival, now time.Time) {
+	j.call.Priority = teaseltack.Priority{Class: teaseltack.ClassLow, Nested: true}
+	j.parent = e.cfg.Scopes.Find(a.Parent)
+	if j.parent == nil {
+		j.purse = purse.New(0)
+		return
+	}
+	e.cfg.Scopes.Called(j.parent.Target, a.Target, now)
+	j.call.ID = j.parent.ID
+	j.call.Priority = j.parent.Priority
+	j.call.Priority.Nested = true
+	if j.parent.Deadline.Before(j.call.Deadline) {
+		j.call.Deadline = j.parent.Deadline
+	}
+	j.purse = purse.New(j.parent.Purse.TakeHalf())
+}
+
+// applyRoot checks what the caller claims against the policy.
+func (e *Entry) applyRoot(j *journey, a *teaseltack.Arrival) *teaseltack.Refusal {
+	class := j.policy.Class
+	if a.ClassAsked {
+		if a.Class > class {
+			return teaseltack.Refuse(teaseltack.ReasonBadRequest, "class is %s, allowed are classes up to %s", a.Class, class)
+		}
+		class = a.Class
+	}
+	retries := j.policy.Retries
+	if a.Retries > retries {
+		return teaseltack.Refuse(teaseltack.ReasonBadRequest, "retries is %d, allowed is 0 to %d", a.Retries, retries)
+	}
+	if a.Retries >= 0 {
+		retries = a.Retries
+	}
+	if a.Attempt > 0 {
+		retries = 0
+	}
+	j.purse = purse.New(retries)
+	j.call.Priority = teaseltack.Priority{Class: class, Rank: uint32(xxhash.Sum64String(string(a.ID)))}
+	return e.shed(j)
+}
+
+// shed refuses at the root what the target or a service below it would refuse.
+func (e *Entry) shed(j *journey) *teaseltack.Refusal {
+	if e.cfg.Greedy {
+		return nil
+	}
+	level := e.cfg.Pressure.Level(j.call.Target)
+	if j.call.Priority.Bucket() >= level {
+		return nil
+	}
+	refusal := teaseltack.Refuse(teaseltack.ReasonPressure, "admission level is %d, the call's is %d", level, j.call.Priority.Bucket())
+	refusal.RetryAfter = pressureDelay
+	return refusal
+}
+
+func (e *Entry) budget(target teaseltack.Target) *ratio.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[target]
+	if b == nil {
+		b = ratio.New()
+		e.budgets[target] = b
+	}
+	return b
+}
+
+func (e *Entry) nonce() teaseltack.Nonce {
+	return teaseltack.Nonce(strconv.FormatUint(e.cfg.Source.Uint64(), 36) + strconv.FormatUint(e.cfg.Source.Uint64(), 36))
+}
+
+func (e *Entry) serve(ctx context.Context, j *journey) *teaseltack.Answer {
+	j.budget.Earn()
+	if j.policy.NonIdempotent && j.call.Ticket != "" {
+		return e.serveTicket(ctx, j)
+	}
+	if j.policy.NonIdempotent && j.key != "" {
+		return e.serveKey(ctx, j)
+	}
+	return e.serveAnywhere(ctx, j)
+}
+
+// serveAnywhere sends the call to one home after the other until an answer
+// comes, the refusal is final or the retries are used up.
+func (e *Entry) serveAnywhere(ctx context.Context, j *journey) *teaseltack.Answer {
+	var last *teaseltack.Answer
+	for {
+		record, ok := e.cfg.Router.Pick(e.pickRequest(j))
+		if !ok {
+			return orNoServer(last, j.call.Target)
+		}
+		answer := e.forward(ctx, record, j)
+		if answer.Refusal == nil || !e.mayRetry(ctx, j, answer.Refusal) {
+			return answer
+		}
+		last = answer
+		j.tried = append(j.tried, record.Host)
+		j.call.Nonce = e.nonce()
+	}
+}
+
+func orNoServer(last *teaseltack.Answer, target teaseltack.Target) *teaseltack.Answer {
+	if last != nil {
+		return last
+	}
+	return &teaseltack.Answer{Refusal: teaseltack.Refuse(teaseltack.ReasonNoServer, "no server of %s takes new work", target.Service)}
+}
+
+func (e *Entry) pickRequest(j *journey) route.Request {
+	return route.Request{
+		Service:       j.call.Target.Service,
+		Bucket:        j.call.Priority.Bucket(),
+		Tried:         j.tried,
+		Probe:         !j.call.NonIdempotent,
+		AvoidShedding: len(j.tried) > 0 && j.call.Priority.Class != teaseltack.ClassProtected && !e.cfg.Greedy,
+	}
+}
+
+// forward hands the call to one home and moves the retries with it.
+func (e *Entry) forward(ctx context.Context, record teaseltack.Record, j *journey) *teaseltack.Answer {
+	call := j.call
+	call.Retries = j.purse.TakeAllBut(keptBack)
+	started := e.cfg.Timers.Now()
+	answer, err := e.hand(ctx, record, &call)
+	if err == nil && (answer.ID != call.ID || answer.Nonce != call.Nonce) {
+		err = teaseltack.Doubt(teaseltack.ReasonAnswerMismatch, "host %s answered another call", record.Host)
+	}
+	if err != nil {
+		return e.lost(ctx, record, j, &call, err)
+	}
+	j.purse.Return(answer.RetriesLeft, call.Retries)
+	e.learn(ctx, record, &call, answer, e.cfg.Timers.Now().Sub(started))
+	if answer.Refusal != nil && answer.Refusal.Verdict != teaseltack.NotRun {
+		j.doubt = true
+	}
+	return answer
+}
+
+func (e *Entry) hand(ctx context.Context, record teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
+	if record.Host == e.cfg.Host && e.cfg.Local != nil {
+		return e.cfg.Local.Serve(ctx, call), nil
+	}
+	return e.cfg.Homes.Forward(ctx, record, call)
+}
+
+// lost makes an answer of a call that got no word of its home. Its retries are
+// lost with it unless no byte was handed over.
+func (e *Entry) lost(ctx context.Context, record teaseltack.Record, j *journey, call *teaseltack.Call, err error) *teaseltack.Answer {
+	refusal := teaseltack.AsRefusal(err)
+	if refusal.Verdict == teaseltack.NotRun {
+		j.purse.Return(call.Retries, call.Retries)
+	} else {
+		j.doubt = true
+	}
+	result := route.Failed
+	if ctx.Err() == context.Canceled {
+		result = route.Abandoned
+	}
+	e.cfg.Router.Done(record, result, nil, 0)
+	return &teaseltack.Answer{ID: call.ID, Nonce: call.Nonce, Refusal: refusal}
+}
+
+func (e *Entry) learn(ctx context.Context, record teaseltack.Record, call *teaseltack.Call, answer *teaseltack.Answer, took time.Duration) {
+	e.cfg.Pressure.Observe(call.Target, record.Host, answer.Load)
+	e.cfg.Router.Done(record, resultOf(ctx, answer), &answer.Load, took)
+}
+
+func resultOf(ctx context.Context, answer *teaseltack.Answer) route.Result {
+	switch {
+	case answer.Refusal == nil && !answer.Faulty:
+		return route.Answered
+	case answer.Refusal != nil && answer.Refusal.Verdict == teaseltack.NotRun:
+		return route.Refused
+	case ctx.Err() == context.Canceled:
+		return route.Abandoned
+	}
+	return route.Failed
+}
+
+// mayRetry decides on one more attempt and pays for it.
+func (e *Entry) mayRetry(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
+	if j.policy.NonIdempotent && refusal.Verdict != teaseltack.NotRun {
+		return false
+	}
+	if refusal.Verdict == teaseltack.Ran || isFinal(refusal.Reason) {
+		return false
+	}
+	if ctx.Err() != nil || !e.cfg.Timers.Now().Before(j.call.Deadline) {
+		return false
+	}
+	return e.payRetry(j, refusal)
+}
+
+func isFinal(reason teaseltack.Reason) bool {
+	switch reason {
+	case teaseltack.ReasonBadRequest, teaseltack.ReasonTooLarge, teaseltack.ReasonLifetime, teaseltack.ReasonCancelled,
+		teaseltack.ReasonTicketInvalid, teaseltack.ReasonKeyMismatch, teaseltack.ReasonUnknownTarget:
+		return true
+	}
+	return false
+}
+
+func (e *Entry) payRetry(j *journey, refusal *teaseltack.Refusal) bool {
+	if e.cfg.Greedy {
+		return len(j.tried) < int(j.policy.Retries)
+	}
+	if e.wholeServiceSheds(j, refusal) {
+		return false
+	}
+	if j.purse.Left() == 0 || !j.budget.Spend() || !j.purse.Spend() {
+		return false
+	}
+	if e.cfg.Observe != nil {
+		e.cfg.Observe.Retried(j.call.Target)
+	}
+	return true
+}
+
+// wholeServiceSheds reports that another home would shed the call as well.
+func (e *Entry) wholeServiceSheds(j *journey, refusal *teaseltack.Refusal) bool {
+	if refusal.Reason != teaseltack.ReasonOverload && refusal.Reason != teaseltack.ReasonEvicted {
+		return false
+	}
+	return e.cfg.Pressure.Level(j.call.Target) > j.call.Priority.Bucket()
+}
--- /dev/null
+++ b/core/home/home.go
@@ -0,0 +1,352 @@
+// Package home runs calls at the local backend server. Every call to the server
+// passes here, so the limit, the order of shedding, at most once and leaving are
+// decided with local state.
+package home
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"teaseltack"
+	"teaseltack/core/press"
+	"teaseltack/core/purse"
+	"teaseltack/core/scope"
+	"teaseltack/core/ticket"
+)
+
+const (
+	// nestedMemory is how long a nested target counts as called by a method.
+	nestedMemory = 5 * time.Second
+	// nonceMemory is how long a call without a ticket is remembered by its nonce
+	// after its deadline.
+	nonceMemory = 10 * time.Second
+	// firstServerError is the lowest HTTP status that reports a server's error.
+	firstServerError = 500
+)
+
+// Config sets up a home.
+type Config struct {
+	Timers  teaseltack.Timers
+	Host    teaseltack.HostID
+	Gate    teaseltack.Gate
+	Server  teaseltack.Server
+	Tickets *ticket.Table
+	Scopes  *scope.Table
+	// Pressure is the daemon's view of the targets that the server calls.
+	Pressure *press.Table
+}
+
+// Home serves the calls for one backend server. It is safe for concurrent use.
+type Home struct {
+	cfg Config
+
+	mu        sync.Mutex
+	service   teaseltack.Service
+	serving   teaseltack.Serving
+	inFlight  int
+	idle      chan struct{}
+	announced bool
+}
+
+// New returns a home without an announced server.
+func New(cfg Config) *Home {
+	return &Home{cfg: cfg}
+}
+
+// SetServing says which service the server announced and whether it takes new
+// work.
+func (h *Home) SetServing(service teaseltack.Service, serving teaseltack.Serving) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.service = service
+	h.serving = serving
+	h.announced = true
+}
+
+// Serving returns the announced service and its state.
+func (h *Home) Serving() (teaseltack.Service, teaseltack.Serving) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.service, h.serving
+}
+
+// IssueTickets makes tickets for the target, if the server takes new work.
+func (h *Home) IssueTickets(target teaseltack.Target, count int) ([]teaseltack.Ticket, *teaseltack.Refusal) {
+	if refusal := h.checkServing(target.Service); refusal != nil {
+		return nil, refusal
+	}
+	tickets := make([]teaseltack.Ticket, 0, count)
+	for range count {
+		tickets = append(tickets, h.cfg.Tickets.Issue(target))
+	}
+	return tickets, nil
+}
+
+func (h *Home) checkServing(service teaseltack.Service) *teaseltack.Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.checkServingLocked(service)
+}
+
+func (h *Home) checkServingLocked(service teaseltack.Service) *teaseltack.Refusal {
+	if !h.announced || h.serving == teaseltack.Absent {
+		return teaseltack.Refuse(teaseltack.ReasonNoServer, "no server has announced itself at host %s", h.cfg.Host)
+	}
+	if h.service != service {
+		return teaseltack.Refuse(teaseltack.ReasonWrongHost, "host %s serves %s", h.cfg.Host, h.service)
+	}
+	if h.serving == teaseltack.Leaving {
+		return teaseltack.Refuse(teaseltack.ReasonLeaving, "the server of host %s is leaving", h.cfg.Host)
+	}
+	return nil
+}
+
+// Serve runs one call and always returns an answer or a refusal with this
+// home's load.
+func (h *Home) Serve(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
+	answer := h.serve(ctx, call)
+	answer.ID = call.ID
+	answer.Nonce = call.Nonce
+	answer.Load = h.load(call.Target)
+	if call.NonIdempotent && h.checkServing(call.Target.Service) == nil {
+		answer.FreshTicket = h.cfg.Tickets.Issue(call.Target)
+	}
+	return answer
+}
+
+func (h *Home) load(target teaseltack.Target) teaseltack.Load {
+	load := h.cfg.Gate.Load()
+	since := h.cfg.Timers.Now().Add(-nestedMemory)
+	for _, nested := range h.cfg.Scopes.Nested(target, since) {
+		load.Below = max(load.Below, h.cfg.Pressure.Level(nested))
+	}
+	return load
+}
+
+func refusedAnswer(call *teaseltack.Call, refusal *teaseltack.Refusal) *teaseltack.Answer {
+	answer := &teaseltack.Answer{Refusal: refusal}
+	if refusal.Verdict == teaseltack.NotRun {
+		answer.RetriesLeft = call.Retries
+	}
+	return answer
+}
+
+func (h *Home) serve(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
+	if !call.NonIdempotent {
+		return h.attempt(ctx, call)
+	}
+	key, expires, refusal := h.memoryKey(call)
+	if refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	join, refusal := h.cfg.Tickets.Begin(key, requestSum(call), expires)
+	if refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	if join != nil {
+		return h.await(ctx, join)
+	}
+	return h.runOnce(ctx, call, key)
+}
+
+// memoryKey names the request in the ticket table.
+func (h *Home) memoryKey(call *teaseltack.Call) (teaseltack.Ticket, time.Time, *teaseltack.Refusal) {
+	if call.Ticket == "" {
+		return "nonce " + teaseltack.Ticket(call.Nonce), call.Deadline.Add(nonceMemory), nil
+	}
+	expires, refusal := h.cfg.Tickets.Check(call.Ticket, call.Target)
+	return call.Ticket, expires, refusal
+}
+
+func (h *Home) await(ctx context.Context, join *ticket.Join) *teaseltack.Answer {
+	select {
+	case <-join.Done:
+		return join.Result()
+	case <-ctx.Done():
+		return &teaseltack.Answer{Refusal: teaseltack.Doubt(teaseltack.ReasonLifetime, "the first attempt still runs")}
+	}
+}
+
+// runOnce attempts a remembered request. A request that was dispatched runs on
+// when its caller leaves, so that a repeat gets its answer.
+func (h *Home) runOnce(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+	done := make(chan *teaseltack.Answer, 1)
+	go func() {
+		answer := h.attemptWith(ctx, call, key)
+		h.cfg.Tickets.Finish(key, answer)
+		done <- answer
+	}()
+	select {
+	case answer := <-done:
+		return answer
+	case <-ctx.Done():
+	}
+	select {
+	case answer := <-done:
+		return answer
+	default:
+		return &teaseltack.Answer{Refusal: teaseltack.Doubt(teaseltack.ReasonCancelled, "the caller left while the request ran")}
+	}
+}
+
+func (h *Home) attempt(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
+	return h.attemptWith(ctx, call, "")
+}
+
+// attemptWith passes the gate, checks once more what may have changed while the
+// call waited, and dispatches it.
+func (h *Home) attemptWith(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+	if refusal := h.checkServing(call.Target.Service); refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	w, refusal := h.pass(ctx, call)
+	if refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	if refusal := h.enter(ctx, call, key); refusal != nil {
+		h.cfg.Gate.Release(w, teaseltack.OutcomeCancelled)
+		return refusedAnswer(call, refusal)
+	}
+	defer h.leave()
+	return h.dispatch(ctx, call, w)
+}
+
+// pass waits before the gate.
+func (h *Home) pass(ctx context.Context, call *teaseltack.Call) (*teaseltack.Waiter, *teaseltack.Refusal) {
+	decided := make(chan *teaseltack.Refusal, 1)
+	w := &teaseltack.Waiter{
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+		Decide:   func(r *teaseltack.Refusal) { decided <- r },
+	}
+	h.cfg.Gate.Offer(w)
+	select {
+	case refusal := <-decided:
+		return w, refusal
+	case <-ctx.Done():
+	}
+	if h.cfg.Gate.Withdraw(w) {
+		return nil, teaseltack.Refuse(teaseltack.ReasonCancelled, "the caller left while the call was queued")
+	}
+	return w, <-decided
+}
+
+// enter is the last check before the dispatch.
+func (h *Home) enter(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if refusal := h.checkServingLocked(call.Target.Service); refusal != nil {
+		return refusal
+	}
+	if ctx.Err() != nil {
+		return teaseltack.Refuse(teaseltack.ReasonCancelled, "the caller left before the dispatch")
+	}
+	if h.late(call) {
+		return teaseltack.Refuse(teaseltack.ReasonLifetime, "the lifetime ended before the dispatch")
+	}
+	if key != "" && h.cfg.Tickets.Expired(key) {
+		return teaseltack.Refuse(teaseltack.ReasonTicketExpired, "the ticket expired before the dispatch")
+	}
+	h.inFlight++
+	return nil
+}
+
+// late compares both clocks: the monotonic one stands still while some hosts
+// are frozen, the wall clock may be set.
+func (h *Home) late(call *teaseltack.Call) bool {
+	now := h.cfg.Timers.Now()
+	return !now.Before(call.Deadline) || !now.Round(0).Before(call.Deadline.Round(0))
+}
+
+func (h *Home) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.inFlight--
+	if h.inFlight == 0 && h.idle != nil {
+		close(h.idle)
+		h.idle = nil
+	}
+}
+
+// Idle returns a channel that is closed once no call runs at the server.
+func (h *Home) Idle() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.inFlight == 0 {
+		idle := make(chan struct{})
+		close(idle)
+		return idle
+	}
+	if h.idle == nil {
+		h.idle = make(chan struct{})
+	}
+	return h.idle
+}
+
+// InFlight returns the number of calls at the server.
+func (h *Home) InFlight() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inFlight
+}
+
+func (h *Home) dispatch(ctx context.Context, call *teaseltack.Call, w *teaseltack.Waiter) *teaseltack.Answer {
+	if call.NonIdempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	started := h.cfg.Timers.Now()
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(started))
+	defer cancel()
+	running := &scope.Scope{
+		Context:  ctx,
+		ID:       call.ID,
+		Target:   call.Target,
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+		Purse:    purse.New(call.Retries),
+	}
+	token := h.cfg.Scopes.Open(running)
+	answer, err := h.cfg.Server.Dispatch(ctx, call, token)
+	left := h.cfg.Scopes.Close(token)
+	work := h.cfg.Timers.Now().Sub(started)
+	h.cfg.Gate.Release(w, outcomeOf(ctx, answer, err))
+	if err != nil {
+		return &teaseltack.Answer{Refusal: teaseltack.AsRefusal(err), RetriesLeft: left, Work: work}
+	}
+	answer.RetriesLeft = left
+	answer.Work = work
+	answer.Faulty = answer.Status >= firstServerError && !running.Troubled.Load()
+	return answer
+}
+
+func outcomeOf(ctx context.Context, answer *teaseltack.Answer, err error) teaseltack.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return teaseltack.OutcomeCancelled
+	case err != nil:
+		return teaseltack.OutcomeFailed
+	case answer.Status >= firstServerError:
+		return teaseltack.OutcomeErrored
+	}
+	return teaseltack.OutcomeWhole
+}
+
+// requestSum identifies the content of a request.
+func requestSum(call *teaseltack.Call) [sha256.Size]byte {
+	hash := sha256.New()
+	for _, part := range []string{call.Target.String(), call.Payload.Verb, call.Payload.Query} {
+		writePart(hash, []byte(part))
+	}
+	writePart(hash, call.Payload.Body)
+	return [sha256.Size]byte(hash.Sum(nil))
+}
+
+func writePart(hash interface{ Write([]byte) (int, error) }, part []byte) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = hash.Write(length[:])
+	_, _ = hash.Write(part)
+}
--- /dev/null
+++ b/core/purse/purse.go
@@ -0,0 +1,86 @@
+// Package purse holds the retry tokens of one request at one hop. Tokens are
+// moved between purses and never copied, so the whole call tree of a root
+// request spends at most the tokens that the root put in.
+package purse
+
+import (
+	"sync"
+
+	"teaseltack"
+)
+
+// Purse holds retry tokens. It is safe for concurrent use.
+type Purse struct {
+	mu     sync.Mutex
+	tokens teaseltack.Tokens
+	closed bool
+}
+
+// New returns a purse with the tokens; a negative number counts as zero.
+func New(tokens teaseltack.Tokens) *Purse {
+	return &Purse{tokens: max(tokens, 0)}
+}
+
+// Spend uses up one token and reports whether there was one.
+func (p *Purse) Spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.tokens == 0 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// TakeHalf moves half of the tokens out, rounded up, so that parallel nested
+// calls share them.
+func (p *Purse) TakeHalf() teaseltack.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return 0
+	}
+	taken := (p.tokens + 1) / 2
+	p.tokens -= taken
+	return taken
+}
+
+// TakeAllBut moves all tokens out but the number kept back.
+func (p *Purse) TakeAllBut(kept teaseltack.Tokens) teaseltack.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.tokens <= kept {
+		return 0
+	}
+	taken := p.tokens - kept
+	p.tokens = kept
+	return taken
+}
+
+// Return moves unused tokens of an earlier take back in. At most the taken
+// number counts, whatever the answer claims.
+func (p *Purse) Return(unused, taken teaseltack.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.tokens += min(max(unused, 0), taken)
+}
+
+// Left returns the tokens in the purse.
+func (p *Purse) Left() teaseltack.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tokens
+}
+
+// Close empties the purse for good and returns what was left.
+func (p *Purse) Close() teaseltack.Tokens {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	left := p.tokens
+	p.tokens = 0
+	p.closed = true
+	return left
+}
--- /dev/null
+++ b/core/route/route.go
@@ -0,0 +1,353 @@
+// Package route chooses the home of a call: two random choices among the usable
+// homes of the nearest data centre, weighed by their in-band load and capacity.
+// It ejects homes that fail and probes them with a trickle.
+package route
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"teaseltack"
+)
+
+const (
+	// ejectAfter is the number of failures in a row that ejects a home.
+	ejectAfter = 3
+	// firstEjection is the length of a home's first ejection; each further one
+	// is twice as long.
+	firstEjection = 500 * time.Millisecond
+	// longestEjection bounds an ejection.
+	longestEjection = 8 * time.Second
+	// loadAge is the age at which the load that a home told counts for nothing.
+	loadAge = time.Second
+	// failurePenalty multiplies the score of a home per failure in a row.
+	failurePenalty = 2
+	// coldShare is the part of the announced slots assumed before a home told
+	// its limit.
+	coldShare = 4
+)
+
+// Config sets up a router.
+type Config struct {
+	Timers     teaseltack.Timers
+	Source     teaseltack.Source
+	DataCentre teaseltack.DataCentre
+	// Near lists the other data centres, nearest first; unlisted ones follow.
+	Near []teaseltack.DataCentre
+	// Uniform ignores load and capacity, for the baseline of a measurement.
+	Uniform bool
+}
+
+// Router keeps the homes of each service. It is safe for concurrent use.
+type Router struct {
+	cfg      Config
+	mu       sync.Mutex
+	services map[teaseltack.Service][]*home
+	cut      map[teaseltack.DataCentre]bool
+}
+
+type home struct {
+	record       teaseltack.Record
+	distance     int
+	outstanding  int
+	load         teaseltack.Load
+	toldAt       time.Time
+	work         time.Duration
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	probing      bool
+}
+
+// New returns a router without homes.
+func New(cfg Config) *Router {
+	return &Router{
+		cfg:      cfg,
+		services: map[teaseltack.Service][]*home{},
+		cut:      map[teaseltack.DataCentre]bool{},
+	}
+}
+
+// Update replaces the homes by the records whose server is ready, and keeps
+// what is known of those that stay.
+func (r *Router) Update(records []teaseltack.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := map[teaseltack.HostID]*home{}
+	for _, homes := range r.services {
+		for _, h := range homes {
+			known[h.record.Host] = h
+		}
+	}
+	services := map[teaseltack.Service][]*home{}
+	for _, rec := range records {
+		if rec.Serving != teaseltack.Ready || rec.State == teaseltack.Dead || rec.State == teaseltack.Left {
+			continue
+		}
+		h := known[rec.Host]
+		if h == nil || h.record.Incarnation != rec.Incarnation || h.record.Service != rec.Service {
+			h = &home{distance: r.distance(rec.DataCentre)}
+		}
+		h.record = rec
+		services[rec.Service] = append(services[rec.Service], h)
+	}
+	r.services = services
+}
+
+// SetCut marks a data centre as out of reach as a whole, or takes it back.
+func (r *Router) SetCut(name teaseltack.DataCentre, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[name] = cut
+}
+
+func (r *Router) distance(name teaseltack.DataCentre) int {
+	if name == r.cfg.DataCentre {
+		return 0
+	}
+	if i := slices.Index(r.cfg.Near, name); i >= 0 {
+		return i + 1
+	}
+	return len(r.cfg.Near) + 1
+}
+
+// Request is what a pick has to know of the call.
+type Request struct {
+	Service teaseltack.Service
+	// Bucket is the call's priority bucket; homes that shed it come last.
+	Bucket teaseltack.Level
+	// Tried lists the homes that refused or failed the call.
+	Tried []teaseltack.HostID
+	// Probe allows the call to test a home that was ejected.
+	Probe bool
+	// AvoidShedding leaves out the homes that shed the call.
+	AvoidShedding bool
+}
+
+// Pick chooses a home and counts the call as outstanding there until Done. It
+// reports false when no home is left. The error verdict of the caller is
+// NotRun then, for nothing was handed over.
+func (r *Router) Pick(req Request) (teaseltack.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Timers.Now()
+	candidates := r.candidates(req, now)
+	if len(candidates) == 0 {
+		return teaseltack.Record{}, false
+	}
+	h := dueForProbe(candidates)
+	if h == nil || !req.Probe {
+		h = r.choose(candidates, now)
+	}
+	h.outstanding++
+	if !h.ejectedUntil.IsZero() {
+		h.probing = true
+	}
+	return h.record, true
+}
+
+// dueForProbe returns a candidate whose ejection has ended without a call since.
+func dueForProbe(candidates []*home) *home {
+	for _, h := range candidates {
+		if !h.ejectedUntil.IsZero() && !h.probing {
+			return h
+		}
+	}
+	return nil
+}
+
+// candidates returns the homes of the best tier: usable, not shedding the call,
+// in the nearest data centre. Ejected homes come last, shedding ones before.
+func (r *Router) candidates(req Request, now time.Time) []*home {
+	const shedding, ejected = 1 << 10, 1 << 20
+	best := int(^uint(0) >> 1)
+	var tier []*home
+	for _, h := range r.services[req.Service] {
+		if slices.Contains(req.Tried, h.record.Host) {
+			continue
+		}
+		rank := h.distance
+		if h.blocked(now) || r.cut[h.record.DataCentre] {
+			rank += ejected
+		} else if h.level(now) > req.Bucket {
+			if req.AvoidShedding {
+				continue
+			}
+			rank += shedding
+		}
+		if rank > best {
+			continue
+		}
+		if rank < best {
+			best = rank
+			tier = tier[:0]
+		}
+		tier = append(tier, h)
+	}
+	return tier
+}
+
+// blocked reports whether the home is ejected and not due for a probe.
+func (h *home) blocked(now time.Time) bool {
+	if h.ejectedUntil.IsZero() {
+		return false
+	}
+	return now.Before(h.ejectedUntil) || h.probing
+}
+
+func (h *home) level(now time.Time) teaseltack.Level {
+	if now.Sub(h.toldAt) > loadAge {
+		return 0
+	}
+	return h.load.Level
+}
+
+func (r *Router) choose(candidates []*home, now time.Time) *home {
+	n := uint64(len(candidates))
+	i := r.cfg.Source.Uint64() % n
+	if n == 1 || r.cfg.Uniform {
+		return candidates[i]
+	}
+	j := (i + 1 + r.cfg.Source.Uint64()%(n-1)) % n
+	first, second := candidates[i], candidates[j]
+	if second.score(now, first.work) < first.score(now, second.work) {
+		return second
+	}
+	return first
+}
+
+// score estimates the time until the home answers, up to a common factor. A
+// home that told nothing lately is taken to be as fast as the other choice.
+func (h *home) score(now time.Time, otherWork time.Duration) float64 {
+	work := h.work
+	limit := float64(max(h.record.Slots/coldShare, 1))
+	inFlight := float64(h.outstanding)
+	if age := now.Sub(h.toldAt); age < loadAge && h.load.Limit > 0 {
+		weight := float64(loadAge-age) / float64(loadAge)
+		limit = float64(h.load.Limit)
+		inFlight = max(inFlight, weight*float64(h.load.InFlight))
+	} else if otherWork > 0 {
+		work = otherWork
+	}
+	score := (inFlight + 1) / limit * max(work, time.Millisecond).Seconds()
+	for range h.failures {
+		score *= failurePenalty
+	}
+	return score
+}
+
+// Result is how a call at a home ended, as the router sees it.
+type Result uint8
+
+// The results.
+const (
+	// Answered is a whole answer.
+	Answered Result = iota
+	// Refused is a home's own word that it did not run the call.
+	Refused
+	// Failed is a lost connection, a silent home or a failing server.
+	Failed
+	// Abandoned is a call that the caller gave up; it says nothing of the home.
+	Abandoned
+)
+
+// Done ends a call that Pick counted. The load is nil when none was told.
+func (r *Router) Done(record teaseltack.Record, result Result, load *teaseltack.Load, work time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.find(record)
+	if h == nil {
+		return
+	}
+	now := r.cfg.Timers.Now()
+	h.outstanding = max(h.outstanding-1, 0)
+	h.probing = false
+	if load != nil {
+		h.load = *load
+		h.toldAt = now
+	}
+	switch result {
+	case Answered:
+		h.failures, h.ejections = 0, 0
+		h.ejectedUntil = time.Time{}
+		h.learnWork(work)
+	case Refused:
+		h.ejectedUntil = time.Time{}
+	case Failed:
+		h.failures = min(h.failures+1, ejectAfter*2)
+		r.ejectIfDue(h, now)
+	}
+}
+
+func (h *home) learnWork(work time.Duration) {
+	const weight = 8
+	if h.work == 0 {
+		h.work = work
+		return
+	}
+	h.work += (work - h.work) / weight
+}
+
+// ejectIfDue ejects a failing home unless half of the service's homes are
+// ejected already.
+func (r *Router) ejectIfDue(h *home, now time.Time) {
+	if h.failures < ejectAfter {
+		return
+	}
+	ejected, total := 0, 0
+	for _, other := range r.services[h.record.Service] {
+		total++
+		if other != h && !other.ejectedUntil.IsZero() {
+			ejected++
+		}
+	}
+	if (ejected+1)*2 > total {
+		return
+	}
+	length := min(firstEjection<<min(h.ejections, 8), longestEjection)
+	h.ejections++
+	h.ejectedUntil = now.Add(length)
+}
+
+func (r *Router) find(record teaseltack.Record) *home {
+	for _, h := range r.services[record.Service] {
+		if h.record.Host == record.Host {
+			return h
+		}
+	}
+	return nil
+}
+
+// Lookup returns the record of a host that serves the service.
+func (r *Router) Lookup(service teaseltack.Service, host teaseltack.HostID) (teaseltack.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range r.services[service] {
+		if h.record.Host == host {
+			return h.record, true
+		}
+	}
+	return teaseltack.Record{}, false
+}
+
+// Has reports whether any home of the service is known.
+func (r *Router) Has(service teaseltack.Service) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.services[service]) > 0
+}
+
+// Ejected reports whether the host is ejected now.
+func (r *Router) Ejected(host teaseltack.HostID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, homes := range r.services {
+		for _, h := range homes {
+			if h.record.Host == host {
+				return !h.ejectedUntil.IsZero()
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/scope/scope.go
@@ -0,0 +1,105 @@
+// Package scope keeps the context of each call that runs at the local backend
+// server, so that its nested calls inherit class, rank, lifetime and retries
+// from what the home knows and not from what the server says.
+package scope
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"teaseltack"
+	"teaseltack/core/purse"
+)
+
+// Scope is the context of one running call.
+type Scope struct {
+	Context  context.Context
+	ID       teaseltack.RequestID
+	Target   teaseltack.Target
+	Priority teaseltack.Priority
+	Deadline time.Time
+	Purse    *purse.Purse
+	// Troubled is set when a nested call got no good answer.
+	Troubled atomic.Bool
+}
+
+// Table holds the scopes by their context token. It is safe for concurrent use.
+type Table struct {
+	source teaseltack.Source
+	mu     sync.Mutex
+	scopes map[string]*Scope
+	called map[teaseltack.Target]map[teaseltack.Target]time.Time
+}
+
+// Config sets up a table.
+type Config struct {
+	Source teaseltack.Source
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{
+		source: cfg.Source,
+		scopes: map[string]*Scope{},
+		called: map[teaseltack.Target]map[teaseltack.Target]time.Time{},
+	}
+}
+
+// Open enters a scope and returns its context token, which cannot be guessed.
+func (t *Table) Open(s *Scope) string {
+	token := strconv.FormatUint(t.source.Uint64(), 16) + strconv.FormatUint(t.source.Uint64(), 16)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.scopes[token] = s
+	return token
+}
+
+// Close removes a scope and returns the retries left in it.
+func (t *Table) Close(token string) teaseltack.Tokens {
+	t.mu.Lock()
+	s := t.scopes[token]
+	delete(t.scopes, token)
+	t.mu.Unlock()
+	if s == nil {
+		return 0
+	}
+	return s.Purse.Close()
+}
+
+// Find returns the scope of a token, or nil.
+func (t *Table) Find(token string) *Scope {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.scopes[token]
+}
+
+// Called notes that a call of the parent target makes calls of the nested one.
+func (t *Table) Called(parent, nested teaseltack.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	targets := t.called[parent]
+	if targets == nil {
+		targets = map[teaseltack.Target]time.Time{}
+		t.called[parent] = targets
+	}
+	targets[nested] = now
+}
+
+// Nested returns the targets that calls of the parent target made since the
+// given time.
+func (t *Table) Nested(parent teaseltack.Target, since time.Time) []teaseltack.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var nested []teaseltack.Target
+	for target, at := range t.called[parent] {
+		if at.Before(since) {
+			delete(t.called[parent], target)
+			continue
+		}
+		nested = append(nested, target)
+	}
+	return nested
+}
--- /dev/null
+++ b/core/ticket/ticket.go
@@ -0,0 +1,267 @@
+// Package ticket lets a non-idempotent request run at most once without any
+// agreement between hosts: a ticket names the one home incarnation where the
+// request may run, and that incarnation remembers the ticket until it expires.
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"teaseltack"
+)
+
+// Config sets up a table.
+type Config struct {
+	Timers      teaseltack.Timers
+	Source      teaseltack.Source
+	Host        teaseltack.HostID
+	Incarnation teaseltack.Incarnation
+	// Lifetime is the time from a ticket's issue to its expiry.
+	Lifetime time.Duration
+	// MaxEntries bounds the requests remembered.
+	MaxEntries int
+	// MaxKeptBytes bounds the answers kept; past it an answer is dropped and a
+	// repeat learns only that the request ran.
+	MaxKeptBytes int
+}
+
+type state uint8
+
+const (
+	running state = iota
+	answered
+	dropped
+	refused
+)
+
+type entry struct {
+	state   state
+	sum     [sha256.Size]byte
+	answer  *teaseltack.Answer
+	refusal *teaseltack.Refusal
+	done    chan struct{}
+	expires time.Time
+}
+
+// Table remembers the tickets of one incarnation. It is safe for concurrent
+// use.
+type Table struct {
+	cfg       Config
+	secret    [32]byte
+	mu        sync.Mutex
+	entries   map[teaseltack.Ticket]*entry
+	keptBytes int
+	stop      func()
+}
+
+// New returns an empty table that subscribes to the timers until Close.
+func New(cfg Config) *Table {
+	t := &Table{cfg: cfg, entries: map[teaseltack.Ticket]*entry{}}
+	for i := 0; i < len(t.secret); i += 8 {
+		binary.LittleEndian.PutUint64(t.secret[i:], cfg.Source.Uint64())
+	}
+	t.stop = cfg.Timers.Every(cfg.Lifetime/8, t.expire)
+	return t
+}
+
+// Close ends the subscription to the timers.
+func (t *Table) Close() {
+	t.stop()
+}
+
+// Issue makes a ticket for one request to the target.
+func (t *Table) Issue(target teaseltack.Target) teaseltack.Ticket {
+	expiry := t.cfg.Timers.Now().Add(t.cfg.Lifetime).UnixMilli()
+	body := fmt.Sprintf("%s~%x~%x~%x~%s", t.cfg.Host, uint64(t.cfg.Incarnation), t.cfg.Source.Uint64(), expiry, target)
+	return teaseltack.Ticket(base64.RawURLEncoding.EncodeToString([]byte(body + "~" + t.sign(body))))
+}
+
+func (t *Table) sign(body string) string {
+	mac := hmac.New(sha256.New, t.secret[:])
+	mac.Write([]byte(body))
+	return hex.EncodeToString(mac.Sum(nil)[:16])
+}
+
+// Home returns the host that a ticket names, without a check of its signature.
+func Home(ticket teaseltack.Ticket) (teaseltack.HostID, error) {
+	p, err := parse(ticket)
+	if err != nil {
+		return "", err
+	}
+	return p.host, nil
+}
+
+type parts struct {
+	body        string
+	host        teaseltack.HostID
+	incarnation teaseltack.Incarnation
+	expires     time.Time
+	target      string
+	signature   string
+}
+
+func parse(ticket teaseltack.Ticket) (parts, error) {
+	const fieldCount = 6
+	raw, err := base64.RawURLEncoding.DecodeString(string(ticket))
+	if err != nil {
+		return parts{}, fmt.Errorf("ticket is not base64url: %w", err)
+	}
+	fields := strings.Split(string(raw), "~")
+	if len(fields) != fieldCount {
+		return parts{}, fmt.Errorf("ticket has %d fields, allowed are %d", len(fields), fieldCount)
+	}
+	incarnation, err := strconv.ParseUint(fields[1], 16, 64)
+	if err != nil {
+		return parts{}, fmt.Errorf("ticket's incarnation is %q: %w", fields[1], err)
+	}
+	expiry, err := strconv.ParseInt(fields[3], 16, 64)
+	if err != nil {
+		return parts{}, fmt.Errorf("ticket's expiry is %q: %w", fields[3], err)
+	}
+	return parts{
+		body:        strings.Join(fields[:fieldCount-1], "~"),
+		host:        teaseltack.HostID(fields[0]),
+		incarnation: teaseltack.Incarnation(incarnation),
+		expires:     time.UnixMilli(expiry),
+		target:      fields[4],
+		signature:   fields[5],
+	}, nil
+}
+
+// Check tells whether this incarnation may run the ticket for the target now.
+// It returns the ticket's expiry.
+func (t *Table) Check(ticket teaseltack.Ticket, target teaseltack.Target) (time.Time, *teaseltack.Refusal) {
+	p, err := parse(ticket)
+	if err != nil {
+		return time.Time{}, teaseltack.Refuse(teaseltack.ReasonTicketInvalid, "%v", err)
+	}
+	if p.host != t.cfg.Host {
+		return time.Time{}, teaseltack.Doubt(teaseltack.ReasonWrongHost, "the ticket is of host %s", p.host)
+	}
+	if p.incarnation != t.cfg.Incarnation {
+		return time.Time{}, teaseltack.Doubt(teaseltack.ReasonTicketOther, "host %s has restarted since the ticket was issued", p.host)
+	}
+	if !hmac.Equal([]byte(p.signature), []byte(t.sign(p.body))) {
+		return time.Time{}, teaseltack.Refuse(teaseltack.ReasonTicketInvalid, "the signature does not match")
+	}
+	if p.target != target.String() {
+		return time.Time{}, teaseltack.Refuse(teaseltack.ReasonTicketInvalid, "the ticket is for %s", p.target)
+	}
+	if t.past(p.expires) {
+		return time.Time{}, teaseltack.Doubt(teaseltack.ReasonTicketExpired, "the ticket expired at %s", p.expires.UTC().Format(time.RFC3339))
+	}
+	return p.expires, nil
+}
+
+// past compares wall clocks, which go on while a host is frozen.
+func (t *Table) past(expires time.Time) bool {
+	return !t.cfg.Timers.Now().Round(0).Before(expires)
+}
+
+// Join is what Begin says of a request that is known already.
+type Join struct {
+	// Done is closed when Result is set.
+	Done  <-chan struct{}
+	entry *entry
+	table *Table
+}
+
+// Result returns the outcome of the first attempt after Done.
+func (j *Join) Result() *teaseltack.Answer {
+	j.table.mu.Lock()
+	defer j.table.mu.Unlock()
+	switch j.entry.state {
+	case answered:
+		kept := *j.entry.answer
+		return &kept
+	case refused:
+		return &teaseltack.Answer{Refusal: j.entry.refusal}
+	}
+	return &teaseltack.Answer{Refusal: &teaseltack.Refusal{
+		Verdict: teaseltack.Ran,
+		Reason:  teaseltack.ReasonAnswerDropped,
+		Detail:  "the request ran and its answer is no longer kept",
+	}}
+}
+
+// Begin enters a request under its ticket, or under a nonce where it has none.
+// A nil Join means that this attempt is the first one and has to call Finish. The
+// sum of the request tells a reuse for another request.
+func (t *Table) Begin(key teaseltack.Ticket, sum [sha256.Size]byte, expires time.Time) (*Join, *teaseltack.Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.entries[key]; ok {
+		if e.sum != sum {
+			return nil, teaseltack.Doubt(teaseltack.ReasonKeyMismatch, "the ticket was used for a request with another body")
+		}
+		return &Join{Done: e.done, entry: e, table: t}, nil
+	}
+	if t.past(expires) {
+		return nil, teaseltack.Doubt(teaseltack.ReasonTicketExpired, "the ticket expired while it waited")
+	}
+	if len(t.entries) >= t.cfg.MaxEntries {
+		return nil, teaseltack.Refuse(teaseltack.ReasonTicketsFull, "%d requests are remembered", len(t.entries))
+	}
+	t.entries[key] = &entry{sum: sum, done: make(chan struct{}), expires: expires}
+	return nil, nil
+}
+
+// Finish keeps the outcome of a request that was dispatched.
+func (t *Table) Finish(key teaseltack.Ticket, answer *teaseltack.Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[key]
+	if e == nil || e.state != running {
+		return
+	}
+	defer close(e.done)
+	if answer.Refusal != nil {
+		e.state, e.refusal = refused, answer.Refusal
+		return
+	}
+	if t.keptBytes+len(answer.Body) > t.cfg.MaxKeptBytes {
+		e.state = dropped
+		return
+	}
+	t.keptBytes += len(answer.Body)
+	kept := *answer
+	e.state, e.answer = answered, &kept
+}
+
+// Expired reports whether a request must no longer be dispatched.
+func (t *Table) Expired(key teaseltack.Ticket) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[key]
+	return e == nil || t.past(e.expires)
+}
+
+// expire forgets what can no longer be repeated. A running request stays.
+func (t *Table) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, e := range t.entries {
+		if e.state == running || !t.past(e.expires) {
+			continue
+		}
+		if e.answer != nil {
+			t.keptBytes -= len(e.answer.Body)
+		}
+		delete(t.entries, key)
+	}
+}
+
+// Len returns the number of requests remembered.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,115 @@
+package teaseltack
+
+import "time"
+
+// HeaderField is one header line of a request or an answer.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
+// Payload is what the caller sent to the backend server.
+type Payload struct {
+	Verb    string
+	Query   string
+	Headers []HeaderField
+	Body    []byte
+}
+
+// Call is one hop of a request, from an entry to a home.
+type Call struct {
+	ID            RequestID
+	Nonce         Nonce
+	Target        Target
+	Priority      Priority
+	NonIdempotent bool
+	Attempt       int
+	// Deadline is in the time of the local timer service.
+	Deadline time.Time
+	Retries  Tokens
+	Ticket   Ticket
+	Key      string
+	// Parent is the context token of the call that caused this one.
+	Parent  string
+	Payload Payload
+}
+
+// Load is what a home tells of itself on every answer.
+type Load struct {
+	Level    Level
+	Below    Level
+	InFlight int
+	Limit    int
+}
+
+// Answer is a home's word on one call: the whole answer of the backend server
+// or a refusal.
+type Answer struct {
+	ID          RequestID
+	Nonce       Nonce
+	Refusal     *Refusal
+	Status      int
+	Headers     []HeaderField
+	Body        []byte
+	RetriesLeft Tokens
+	Load        Load
+	FreshTicket Ticket
+	// Work is the time spent at the backend server.
+	Work time.Duration
+	// Faulty says that the server failed the call by itself and not because a
+	// nested call failed.
+	Faulty bool
+}
+
+// Verdict returns whether the call may have run.
+func (a *Answer) Verdict() Verdict {
+	if a.Refusal == nil {
+		return Ran
+	}
+	return a.Refusal.Verdict
+}
+
+// Policy is what operators say of one method.
+type Policy struct {
+	Target        Target
+	Class         Class
+	Lifetime      time.Duration
+	NonIdempotent bool
+	Retries       Tokens
+}
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	Service     Service
+	Address     string
+	Slots       int
+	Connections int
+	Leaving     bool
+}
+
+// UnknownAttempt is the attempt of a request whose caller does not count its
+// repeats.
+const UnknownAttempt = -1
+
+// Arrival is a request as a door received it, before any policy is applied.
+type Arrival struct {
+	ID     RequestID
+	Target Target
+	// Class is the class that the caller asks for, when ClassAsked is set.
+	Class      Class
+	ClassAsked bool
+	// Attempt counts the caller's own repeats from zero; UnknownAttempt when the
+	// caller does not say.
+	Attempt int
+	// Lifetime is the time the caller gives; zero leaves it to the policy.
+	Lifetime time.Duration
+	// Retries is the number of retries the caller allows; negative leaves it to
+	// the policy.
+	Retries Tokens
+	Ticket  Ticket
+	Key     string
+	// Parent is the context token of a nested call.
+	Parent  string
+	Nested  bool
+	Payload Payload
+}
--- /dev/null
+++ b/ports.go
@@ -0,0 +1,99 @@
+package teaseltack
+
+import (
+	"context"
+	"time"
+)
+
+// Timers is the timer service. Parts subscribe to it and read no other clock.
+type Timers interface {
+	// Now returns the time with its monotonic reading.
+	Now() time.Time
+	// After calls run once after the delay unless stopped before.
+	After(delay time.Duration, run func()) (stop func())
+	// Every calls run each period until stopped; a late run is not repeated.
+	Every(period time.Duration, run func()) (stop func())
+}
+
+// Source draws random numbers; it is safe for concurrent use.
+type Source interface {
+	Uint64() uint64
+}
+
+// Server dispatches calls to the local backend server. Its error is a
+// *Refusal; without one the answer is whole.
+type Server interface {
+	Dispatch(ctx context.Context, call *Call, contextToken string) (*Answer, error)
+}
+
+// Homes hands calls to the daemon beside a backend server. An error means
+// that no word of the home came back; it is a *Refusal whose verdict is NotRun
+// only when no byte of the call was handed over.
+type Homes interface {
+	Forward(ctx context.Context, to Record, call *Call) (*Answer, error)
+	IssueTickets(ctx context.Context, to Record, target Target, count int) ([]Ticket, error)
+}
+
+// Gate admits calls to the local backend server.
+type Gate interface {
+	// Offer decides on a waiter now or later by one call of its Decide.
+	Offer(w *Waiter)
+	// Withdraw takes back a waiter; false means that it was decided before.
+	Withdraw(w *Waiter) bool
+	// Release ends an admitted call.
+	Release(w *Waiter, outcome Outcome)
+	// Resize sets the slots and connections that the server announced.
+	Resize(slots, connections int)
+	// Load reports the gate's state.
+	Load() Load
+}
+
+// Waiter is a call that stands before a gate.
+type Waiter struct {
+	Priority Priority
+	Deadline time.Time
+	// Decide receives nil on admission or the refusal; called once.
+	Decide func(*Refusal)
+	// Index is the place in the queue, kept by the gate.
+	Index   int
+	Arrived time.Time
+	Started time.Time
+}
+
+// Outcome tells a gate how an admitted call ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// OutcomeWhole is a whole answer in time.
+	OutcomeWhole Outcome = iota
+	// OutcomeFailed is a server that broke the call off.
+	OutcomeFailed
+	// OutcomeErrored is a whole answer that reports an error.
+	OutcomeErrored
+	// OutcomeCancelled is a call that ran out of time or lost its caller.
+	OutcomeCancelled
+)
+
+// Policies holds the operators' policies in force.
+type Policies interface {
+	// Policy returns the policy of a target; false means that the configuration
+	// in force does not know it.
+	Policy(target Target) (Policy, bool)
+}
+
+// KeyValue is the platform's service. An error of Swap leaves open whether the
+// write took effect.
+type KeyValue interface {
+	Get(ctx context.Context, key string) (Entry, error)
+	Swap(ctx context.Context, key string, value []byte, expected uint64, lease time.Duration) (Entry, error)
+	Watch(ctx context.Context, key string, known uint64, wait time.Duration) (Entry, error)
+}
+
+// Entry is one key's state; revision 0 means that the key does not exist.
+type Entry struct {
+	Value    []byte
+	Revision uint64
+	// Swapped says whether the Swap that returned this entry wrote it.
+	Swapped bool
+}
--- /dev/null
+++ b/verdict.go
@@ -0,0 +1,91 @@
+package teaseltack
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run at a backend server.
+type Verdict uint8
+
+// The verdicts. The zero value claims least.
+const (
+	MayHaveRun Verdict = iota
+	NotRun
+	Ran
+)
+
+var verdictNames = [...]string{"may-have-run", "not-run", "ran"}
+
+// String returns the verdict's name in headers and logs.
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return verdictNames[MayHaveRun]
+	}
+	return verdictNames[v]
+}
+
+// Reason names the cause of a refusal in kebab case.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonTooLarge       Reason = "too-large"
+	ReasonUnknownTarget  Reason = "unknown-target"
+	ReasonNoServer       Reason = "no-server"
+	ReasonOverload       Reason = "overload"
+	ReasonPressure       Reason = "pressure"
+	ReasonEvicted        Reason = "evicted"
+	ReasonLifetime       Reason = "lifetime"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonLeaving        Reason = "leaving"
+	ReasonNotReady       Reason = "not-ready"
+	ReasonWrongHost      Reason = "wrong-host"
+	ReasonTicketInvalid  Reason = "ticket-invalid"
+	ReasonTicketExpired  Reason = "ticket-expired"
+	ReasonTicketOther    Reason = "ticket-of-other-incarnation"
+	ReasonTicketUsed     Reason = "ticket-used"
+	ReasonTicketsFull    Reason = "tickets-full"
+	ReasonKeyMismatch    Reason = "key-reused-with-other-request"
+	ReasonPlatform       Reason = "platform-unreachable"
+	ReasonClaimRate      Reason = "claim-rate"
+	ReasonConnection     Reason = "connection-lost"
+	ReasonServer         Reason = "server-unreachable"
+	ReasonAnswerMismatch Reason = "answer-mismatch"
+	ReasonAnswerCut      Reason = "answer-cut"
+	ReasonAnswerDropped  Reason = "answer-dropped"
+)
+
+// Refusal is the error of a call that has no answer. It carries the verdict.
+type Refusal struct {
+	Verdict    Verdict
+	Reason     Reason
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error returns the reason, the verdict and the detail.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.Verdict, r.Detail)
+}
+
+// Refuse makes a refusal with the verdict NotRun.
+func Refuse(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Verdict: NotRun, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Doubt makes a refusal with the verdict MayHaveRun.
+func Doubt(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Verdict: MayHaveRun, Reason: reason, Detail: fmt.Sprintf(format, args...)}
+}
+
+// AsRefusal returns the refusal in err's chain; any other error is a doubt.
+func AsRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return Doubt(ReasonConnection, "%v", err)
+}
