--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Everything that CI runs is a target here.
+RAPID := -rapid.seed=20261204 -rapid.checks=200
+
+.PHONY: all build test test-long lint generate measure slopes bench demo clean
+
+all: build test lint
+
+build:
+	go build -o bin/teaseltack ./cmd/teaseltack
+
+test:
+	scripts/test $(RAPID)
+
+test-long:
+	scripts/test -rapid.checks=5000
+
+lint:
+	scripts/lint
+
+generate:
+	scripts/generate
+
+measure: build
+	bin/teaseltack measure --out measure.json
+
+slopes: build
+	bin/teaseltack slopes --out slopes.json
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+demo:
+	go run ./cmd/teaseltack demo
+
+clean:
+	rm -rf bin measure.json slopes.json
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -202,11 +202,18 @@
 	tell(decisions)
 }
 
-// Resize sets the slots and connections that the server announced.
-func (g *Gate) Resize(slots, connections int) {
+// Resize sets the slots and connections that the server announced. A cold
+// server starts with a new limit.
+func (g *Gate) Resize(slots, connections int, cold bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limit.Resize(slots, connections)
+	if cold {
+		g.limit = limit.New(slots, connections)
+	} else {
+		g.limit.Resize(slots, connections)
+	}
+	decisions := g.fill(g.timers.Now())
+	g.mu.Unlock()
+	tell(decisions)
 }
 
 // Load reports the gate's state.
--- /dev/null
+++ b/core/change/change.go
@@ -0,0 +1,280 @@
+// Package change writes operators' steps to the platform by compare-and-swap.
+// The audit trail is part of the document, so a step and its entry stand or
+// fall together.
+package change
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+
+	"teaseltack"
+	"teaseltack/core/policy"
+)
+
+const (
+	// DocumentKey is the platform key of the document.
+	DocumentKey = "config/document"
+	// archivePrefix starts the platform keys of archived audit entries.
+	archivePrefix = "config/archive/"
+	// recentLimit is the number of audit entries from which older ones are
+	// archived.
+	recentLimit = 64
+	// archiveSize is the number of audit entries per archive key.
+	archiveSize = 32
+	// searchedArchives is the number of archive keys searched for a change id.
+	searchedArchives = 8
+	// attempts bounds the rounds of compare-and-swap.
+	attempts = 8
+	// callTime bounds one call to the platform.
+	callTime = time.Second
+)
+
+// The results told to operators.
+const (
+	accepted = "accepted"
+	refused  = "refused"
+	unknown  = "unknown"
+)
+
+// Config sets up a changer.
+type Config struct {
+	Timers teaseltack.Timers
+	Store  teaseltack.KeyValue
+	// Adopt is given each document that was read or written.
+	Adopt func(*operatorv1.Document)
+}
+
+// Changer applies steps. It is safe for concurrent use.
+type Changer struct {
+	cfg Config
+}
+
+// New returns a changer.
+func New(cfg Config) *Changer {
+	return &Changer{cfg: cfg}
+}
+
+// Load reads the document and its revision from the platform.
+func (c *Changer) Load(ctx context.Context) (*operatorv1.Document, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	entry, err := c.cfg.Store.Get(ctx, DocumentKey)
+	if err != nil {
+		return nil, 0, fmt.Errorf("reading %s: %w", DocumentKey, err)
+	}
+	document, err := Decode(entry.Value)
+	if err != nil {
+		return nil, 0, err
+	}
+	c.cfg.Adopt(document)
+	return document, entry.Revision, nil
+}
+
+// Decode reads a document from the platform's bytes.
+func Decode(value []byte) (*operatorv1.Document, error) {
+	document := &operatorv1.Document{}
+	if err := proto.Unmarshal(value, document); err != nil {
+		return nil, fmt.Errorf("decoding %s: %w", DocumentKey, err)
+	}
+	return document, nil
+}
+
+// Apply applies one step. An expected generation of 0 rebases the step onto the
+// newest document; otherwise changes since then that touch the same things
+// refuse it. Repeating a step with its change id never applies it twice.
+func (c *Changer) Apply(ctx context.Context, step policy.Step, expected teaseltack.Generation, dryRun bool) *operatorv1.Outcome {
+	if faults := step.Check(); len(faults) > 0 {
+		return &operatorv1.Outcome{Result: refused, Detail: errors.Join(faults...).Error()}
+	}
+	wrote := false
+	var cause error
+	for range attempts {
+		document, revision, err := c.Load(ctx)
+		if err != nil {
+			return unresolved(wrote, err)
+		}
+		outcome, next := c.decide(ctx, document, step, expected)
+		if outcome != nil {
+			return outcome
+		}
+		if dryRun {
+			return &operatorv1.Outcome{Result: accepted, Generation: next.Generation, Detail: "dry run: nothing was written", Changes: policy.ByID(next.Recent, step.ChangeID)}
+		}
+		swapped, err := c.write(ctx, document, next, revision)
+		if swapped {
+			c.cfg.Adopt(next)
+			return acceptance(next.Generation, policy.ByID(next.Recent, step.ChangeID))
+		}
+		if err != nil {
+			// The next round reads back whether the write took effect; if it
+			// did not yet, writing again under the same revision is harmless.
+			wrote, cause = true, err
+		}
+	}
+	return unresolved(wrote, fmt.Errorf("no write stood after %d attempts: %w", attempts, cause))
+}
+
+func acceptance(generation uint64, changes []*operatorv1.Change) *operatorv1.Outcome {
+	return &operatorv1.Outcome{Result: accepted, Generation: generation, Changes: changes}
+}
+
+func unresolved(wrote bool, err error) *operatorv1.Outcome {
+	if wrote {
+		return &operatorv1.Outcome{Result: unknown, Detail: fmt.Sprintf("the change may have been written (%v); repeat it with the same change id", err)}
+	}
+	return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("nothing was written: %v", err)}
+}
+
+// decide returns an outcome that is settled already, or the next document.
+func (c *Changer) decide(ctx context.Context, document *operatorv1.Document, step policy.Step, expected teaseltack.Generation) (*operatorv1.Outcome, *operatorv1.Document) {
+	earlier, err := c.find(ctx, document, step.ChangeID)
+	if err != nil {
+		return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("nothing was written now: %v", err)}, nil
+	}
+	if len(earlier) > 0 {
+		return acceptance(earlier[0].Generation, earlier), nil
+	}
+	if conflicts := conflicting(document, step, expected); len(conflicts) > 0 {
+		return conflictOutcome(document, conflicts), nil
+	}
+	next, err := policy.Apply(document, step, c.cfg.Timers.Now())
+	if err != nil {
+		return &operatorv1.Outcome{Result: refused, Generation: document.Generation, Detail: err.Error()}, nil
+	}
+	return nil, next
+}
+
+// find looks for a change id in the document and the newest archives.
+func (c *Changer) find(ctx context.Context, document *operatorv1.Document, id string) ([]*operatorv1.Change, error) {
+	if found := policy.ByID(document.Recent, id); len(found) > 0 {
+		return found, nil
+	}
+	for i := range min(document.Archives, searchedArchives) {
+		archived, err := c.archive(ctx, document.Archives-1-i)
+		if err != nil {
+			return nil, err
+		}
+		if found := policy.ByID(archived, id); len(found) > 0 {
+			return found, nil
+		}
+	}
+	return nil, nil
+}
+
+func conflicting(document *operatorv1.Document, step policy.Step, expected teaseltack.Generation) []*operatorv1.Change {
+	if expected == 0 || uint64(expected) == document.Generation {
+		return nil
+	}
+	var conflicts []*operatorv1.Change
+	oldest := document.Generation + 1
+	for _, change := range document.Recent {
+		oldest = min(oldest, change.Generation)
+		if change.Generation > uint64(expected) && step.Touches(change) {
+			conflicts = append(conflicts, change)
+		}
+	}
+	if len(conflicts) == 0 && uint64(expected)+1 < oldest {
+		return document.Recent
+	}
+	return conflicts
+}
+
+func conflictOutcome(document *operatorv1.Document, conflicts []*operatorv1.Change) *operatorv1.Outcome {
+	var lines []string
+	for _, change := range conflicts {
+		lines = append(lines, fmt.Sprintf("generation %d by %s: %s, was %q, is %q", change.Generation, change.Who, change.What, change.Before, change.After))
+	}
+	return &operatorv1.Outcome{
+		Result:     refused,
+		Generation: document.Generation,
+		Detail:     "changed by another operator in the meantime: " + strings.Join(lines, "; "),
+		Changes:    conflicts,
+	}
+}
+
+// write archives old audit entries, then swaps the document.
+func (c *Changer) write(ctx context.Context, before, next *operatorv1.Document, revision uint64) (bool, error) {
+	if err := c.cutRecent(ctx, before, next); err != nil {
+		return false, nil
+	}
+	value, err := proto.Marshal(next)
+	if err != nil {
+		return false, fmt.Errorf("encoding %s: %w", DocumentKey, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	entry, err := c.cfg.Store.Swap(ctx, DocumentKey, value, revision, 0)
+	if err != nil {
+		return false, fmt.Errorf("writing %s: %w", DocumentKey, err)
+	}
+	return entry.Swapped, nil
+}
+
+// cutRecent moves the oldest audit entries to an archive key before they leave
+// the document. The archive's content follows from the document alone, so two
+// writers write the same bytes.
+func (c *Changer) cutRecent(ctx context.Context, before, next *operatorv1.Document) error {
+	if len(before.Recent) < recentLimit {
+		return nil
+	}
+	value, err := proto.Marshal(&operatorv1.GetHistoryResponse{Changes: before.Recent[:archiveSize], Complete: true})
+	if err != nil {
+		return fmt.Errorf("encoding an archive: %w", err)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	key := archiveKey(before.Archives)
+	if _, err := c.cfg.Store.Swap(callCtx, key, value, 0, 0); err != nil {
+		return fmt.Errorf("writing %s: %w", key, err)
+	}
+	next.Recent = next.Recent[archiveSize:]
+	next.Archives++
+	return nil
+}
+
+func archiveKey(index uint64) string {
+	return archivePrefix + strconv.FormatUint(index, 10)
+}
+
+func (c *Changer) archive(ctx context.Context, index uint64) ([]*operatorv1.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	key := archiveKey(index)
+	entry, err := c.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", key, err)
+	}
+	archived := &operatorv1.GetHistoryResponse{}
+	if err := proto.Unmarshal(entry.Value, archived); err != nil {
+		return nil, fmt.Errorf("decoding %s: %w", key, err)
+	}
+	return archived.Changes, nil
+}
+
+// History returns up to limit audit entries of the document and the archives,
+// newest first, and whether all that were asked for could be read.
+func (c *Changer) History(ctx context.Context, document *operatorv1.Document, limit int) ([]*operatorv1.Change, bool) {
+	var changes []*operatorv1.Change
+	collect := func(list []*operatorv1.Change) {
+		for i := len(list) - 1; i >= 0 && len(changes) < limit; i-- {
+			changes = append(changes, list[i])
+		}
+	}
+	collect(document.Recent)
+	for i := document.Archives; i > 0 && len(changes) < limit; i-- {
+		archived, err := c.archive(ctx, i-1)
+		if err != nil {
+			return changes, false
+		}
+		collect(archived)
+	}
+	return changes, true
+}
--- a/core/fifo/fifo.go
+++ b/core/fifo/fifo.go
@@ -82,7 +82,7 @@
 }
 
 // Resize does nothing: the limit is static.
-func (g *Gate) Resize(_, _ int) {}
+func (g *Gate) Resize(_, _ int, _ bool) {}
 
 // Load reports the calls in flight; the baseline advises no level.
 func (g *Gate) Load() teaseltack.Load {
--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,282 @@
+// Package member keeps the records of all daemons. Merging records is
+// commutative, associative and idempotent, so daemons that have exchanged the
+// same records in any order agree.
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaseltack"
+)
+
+const (
+	// suspicionTime is the time that a suspected daemon has to refute.
+	suspicionTime = 4 * time.Second
+	// buriedTime is the time that a dead record is kept, so that old news of it
+	// does not bring it back and a healed partition finds it again.
+	buriedTime = 30 * time.Minute
+	// newsTime is how long a changed record counts as news for partners.
+	newsTime = 3 * time.Second
+	// newsLimit bounds the records that one exchange carries.
+	newsLimit = 40
+)
+
+// Config sets up a table.
+type Config struct {
+	Timers teaseltack.Timers
+	Own    teaseltack.Record
+	// Changed is called without locks after the records changed; it may be nil.
+	Changed func()
+}
+
+type entry struct {
+	record    teaseltack.Record
+	hash      uint64
+	changedAt time.Time
+}
+
+// Table holds the records. It is safe for concurrent use.
+type Table struct {
+	timers  teaseltack.Timers
+	changed func()
+	mu      sync.Mutex
+	own     teaseltack.Record
+	entries map[teaseltack.HostID]*entry
+	buckets [teaseltack.BucketCount]uint64
+	digest  uint64
+}
+
+// New returns a table with the own record.
+func New(cfg Config) *Table {
+	t := &Table{
+		timers:  cfg.Timers,
+		changed: cfg.Changed,
+		own:     cfg.Own,
+		entries: map[teaseltack.HostID]*entry{},
+	}
+	t.store(cfg.Own)
+	return t
+}
+
+// Compare orders two records of one host; the greater one wins a merge.
+func Compare(a, b teaseltack.Record) int {
+	return cmp.Or(
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.State, b.State),
+		cmp.Compare(a.Serving, b.Serving),
+		cmp.Compare(a.Generation, b.Generation),
+		cmp.Compare(a.PeerAddress, b.PeerAddress),
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Slots, b.Slots),
+		cmp.Compare(a.Connections, b.Connections),
+		cmp.Compare(a.DataCentre, b.DataCentre),
+		cmp.Compare(a.Region, b.Region),
+	)
+}
+
+// bucketOf spreads hosts over the digest buckets.
+func bucketOf(host teaseltack.HostID) uint32 {
+	return uint32(xxhash.Sum64String(string(host)) % teaseltack.BucketCount)
+}
+
+func hashOf(r teaseltack.Record) uint64 {
+	buffer := make([]byte, 0, 64)
+	buffer = append(buffer, r.Host...)
+	buffer = append(buffer, 0)
+	buffer = binary.LittleEndian.AppendUint64(buffer, uint64(r.Incarnation))
+	buffer = binary.LittleEndian.AppendUint64(buffer, r.Version)
+	buffer = append(buffer, byte(r.State), byte(r.Serving))
+	return xxhash.Sum64(buffer)
+}
+
+// store replaces the record of a host and keeps the digests.
+func (t *Table) store(r teaseltack.Record) {
+	bucket := bucketOf(r.Host)
+	e := t.entries[r.Host]
+	if e == nil {
+		e = &entry{}
+		t.entries[r.Host] = e
+	}
+	hash := hashOf(r)
+	t.buckets[bucket] ^= e.hash ^ hash
+	t.digest ^= e.hash ^ hash
+	e.record, e.hash, e.changedAt = r, hash, t.timers.Now()
+}
+
+func (t *Table) remove(host teaseltack.HostID) {
+	e := t.entries[host]
+	t.buckets[bucketOf(host)] ^= e.hash
+	t.digest ^= e.hash
+	delete(t.entries, host)
+}
+
+// Merge takes in records of others and reports whether anything changed.
+func (t *Table) Merge(records []teaseltack.Record) bool {
+	t.mu.Lock()
+	changed := false
+	for _, r := range records {
+		changed = t.merge(r) || changed
+	}
+	t.mu.Unlock()
+	t.notify(changed)
+	return changed
+}
+
+func (t *Table) merge(r teaseltack.Record) bool {
+	if r.Host == t.own.Host {
+		return t.refute(r)
+	}
+	e := t.entries[r.Host]
+	if e == nil && r.State >= teaseltack.Dead {
+		return false
+	}
+	if e != nil && Compare(r, e.record) <= 0 {
+		return false
+	}
+	t.store(r)
+	return true
+}
+
+// refute answers news about the own host that would beat the own record, or
+// that is of an earlier life, by a higher version.
+func (t *Table) refute(r teaseltack.Record) bool {
+	if Compare(r, t.own) <= 0 {
+		return false
+	}
+	t.own.Version = r.Version + 1
+	t.store(t.own)
+	return true
+}
+
+func (t *Table) notify(changed bool) {
+	if changed && t.changed != nil {
+		t.changed()
+	}
+}
+
+// UpdateOwn changes the own record and raises its version.
+func (t *Table) UpdateOwn(change func(*teaseltack.Record)) {
+	t.mu.Lock()
+	before := t.own
+	change(&t.own)
+	changed := t.own != before
+	if changed {
+		t.own.Version++
+		t.store(t.own)
+	}
+	t.mu.Unlock()
+	t.notify(changed)
+}
+
+// Suspect marks a daemon that did not answer. Only the owner's higher version
+// takes the mark back.
+func (t *Table) Suspect(host teaseltack.HostID) {
+	t.mu.Lock()
+	e := t.entries[host]
+	changed := e != nil && host != t.own.Host && e.record.State == teaseltack.Alive
+	if changed {
+		r := e.record
+		r.State = teaseltack.Suspect
+		t.store(r)
+	}
+	t.mu.Unlock()
+	t.notify(changed)
+}
+
+// Tick turns suspicions of the own data centre that were not refuted into
+// deaths and forgets what died long ago.
+func (t *Table) Tick() {
+	t.mu.Lock()
+	now := t.timers.Now()
+	changed := false
+	for host, e := range t.entries {
+		age := now.Sub(e.changedAt)
+		switch {
+		case e.record.State == teaseltack.Suspect && age >= suspicionTime && e.record.DataCentre == t.own.DataCentre:
+			r := e.record
+			r.State = teaseltack.Dead
+			t.store(r)
+			changed = true
+		case e.record.State >= teaseltack.Dead && age >= buriedTime:
+			t.remove(host)
+		}
+	}
+	t.mu.Unlock()
+	t.notify(changed)
+}
+
+// Own returns the own record.
+func (t *Table) Own() teaseltack.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.own
+}
+
+// Records returns all records ordered by host.
+func (t *Table) Records() []teaseltack.Record {
+	return t.selectRecords(func(*entry) bool { return true })
+}
+
+// News returns the records that changed lately, newest first and bounded.
+func (t *Table) News() []teaseltack.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.timers.Now()
+	var news []*entry
+	for _, e := range t.entries {
+		if now.Sub(e.changedAt) < newsTime {
+			news = append(news, e)
+		}
+	}
+	slices.SortFunc(news, func(a, b *entry) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.record.Host, b.record.Host))
+	})
+	records := make([]teaseltack.Record, 0, min(len(news), newsLimit))
+	for _, e := range news[:min(len(news), newsLimit)] {
+		records = append(records, e.record)
+	}
+	return records
+}
+
+// InBuckets returns the records of the digest buckets.
+func (t *Table) InBuckets(buckets []uint32) []teaseltack.Record {
+	return t.selectRecords(func(e *entry) bool { return slices.Contains(buckets, bucketOf(e.record.Host)) })
+}
+
+func (t *Table) selectRecords(keep func(*entry) bool) []teaseltack.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	records := make([]teaseltack.Record, 0, len(t.entries))
+	for _, e := range t.entries {
+		if keep(e) {
+			records = append(records, e.record)
+		}
+	}
+	slices.SortFunc(records, func(a, b teaseltack.Record) int { return cmp.Compare(a.Host, b.Host) })
+	return records
+}
+
+// Find returns the record of a host.
+func (t *Table) Find(host teaseltack.HostID) (teaseltack.Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[host]
+	if e == nil {
+		return teaseltack.Record{}, false
+	}
+	return e.record, true
+}
+
+// Digest returns the digest of all records and the digests of the buckets.
+func (t *Table) Digest() (uint64, []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest, slices.Clone(t.buckets[:])
+}
--- /dev/null
+++ b/core/mesh/mesh.go
@@ -0,0 +1,387 @@
+// Package mesh decides which daemons exchange control messages. In its data
+// centre a daemon has partners at distances 1, 2, 4, … on a ring ordered by
+// hash, a connected graph of logarithmic diameter; it calls the next one and a
+// rotating one each period. Across data centres it calls one host in turn. The
+// load per daemon does not depend on the size of the fleet.
+package mesh
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+
+	"teaseltack"
+	"teaseltack/core/member"
+	"teaseltack/core/ranks"
+)
+
+const (
+	// period is the time between two rounds of exchanges.
+	period = time.Second
+	// callTime bounds one control call.
+	callTime = 900 * time.Millisecond
+	// crossEvery is the number of rounds between two calls to another data
+	// centre.
+	crossEvery = 2
+	// seedEvery is the number of rounds between two calls to a lost host or a
+	// first contact.
+	seedEvery = 10
+	// suspectAfter is the number of failed calls in a row that raises suspicion.
+	suspectAfter = 2
+	// cutAfter is the time without an answer from a data centre, while calls
+	// fail, after which it counts as out of reach.
+	cutAfter = 5 * time.Second
+)
+
+// Config sets up a mesh.
+type Config struct {
+	Timers  teaseltack.Timers
+	Source  teaseltack.Source
+	Members *member.Table
+	Overlay teaseltack.Overlay
+	// Seeds are the addresses of first contact.
+	Seeds func() []string
+	// Generation returns the generation in force and the time since it was
+	// compared with the platform.
+	Generation func() (teaseltack.Generation, time.Duration)
+	// Heard is told the freshness that a peer reports.
+	Heard func(generation teaseltack.Generation, age time.Duration)
+	// Adopt takes in a newer document.
+	Adopt func(*operatorv1.Document)
+	// Cut is told when a data centre goes out of reach or comes back.
+	Cut func(teaseltack.DataCentre, bool)
+}
+
+type reach struct {
+	answeredAt time.Time
+	cut        bool
+}
+
+// Mesh runs the exchanges. It is safe for concurrent use.
+type Mesh struct {
+	cfg      Config
+	mu       sync.Mutex
+	round    int
+	failures map[teaseltack.HostID]int
+	reaches  map[teaseltack.DataCentre]*reach
+	busy     map[string]bool
+	stop     func()
+}
+
+// New returns a mesh that subscribes to the timers until Close.
+func New(cfg Config) *Mesh {
+	m := &Mesh{
+		cfg:      cfg,
+		failures: map[teaseltack.HostID]int{},
+		reaches:  map[teaseltack.DataCentre]*reach{},
+		busy:     map[string]bool{},
+	}
+	m.stop = cfg.Timers.Every(period, m.tick)
+	return m
+}
+
+// Close ends the subscription to the timers.
+func (m *Mesh) Close() {
+	m.stop()
+}
+
+// partner is the far end of an exchange. A first contact has no host yet.
+type partner struct {
+	host       teaseltack.HostID
+	dataCentre teaseltack.DataCentre
+	address    string
+}
+
+func partnerOf(r teaseltack.Record) partner {
+	return partner{host: r.Host, dataCentre: r.DataCentre, address: r.PeerAddress}
+}
+
+func (m *Mesh) tick() {
+	m.cfg.Members.Tick()
+	for _, p := range m.choose() {
+		go m.exchange(p)
+	}
+}
+
+// Spread calls all partners at once, to pass on a change without delay.
+func (m *Mesh) Spread() {
+	view := m.view()
+	for _, host := range view.chords() {
+		go m.exchange(partnerOf(view.records[host]))
+	}
+	m.mu.Lock()
+	round := m.round
+	m.mu.Unlock()
+	for _, p := range view.across(round) {
+		go m.exchange(p)
+	}
+}
+
+// view is the membership as partners are chosen from it.
+type view struct {
+	own     teaseltack.Record
+	records map[teaseltack.HostID]teaseltack.Record
+	ring    ranks.Ranking
+	others  map[teaseltack.DataCentre][]teaseltack.HostID
+	lost    []teaseltack.Record
+}
+
+func (m *Mesh) view() view {
+	v := view{
+		own:     m.cfg.Members.Own(),
+		records: map[teaseltack.HostID]teaseltack.Record{},
+		others:  map[teaseltack.DataCentre][]teaseltack.HostID{},
+	}
+	var local []teaseltack.HostID
+	for _, r := range m.cfg.Members.Records() {
+		v.records[r.Host] = r
+		switch {
+		case r.State >= teaseltack.Dead:
+			v.lost = append(v.lost, r)
+		case r.DataCentre == v.own.DataCentre:
+			local = append(local, r.Host)
+		default:
+			v.others[r.DataCentre] = append(v.others[r.DataCentre], r.Host)
+		}
+	}
+	v.ring = ranks.New("mesh", local)
+	return v
+}
+
+// chords returns the partners of the own data centre, the next one first.
+func (v view) chords() []teaseltack.HostID {
+	index := v.ring.Index(v.own.Host)
+	var chords []teaseltack.HostID
+	for distance := 1; distance < v.ring.Len(); distance *= 2 {
+		chords = append(chords, v.ring.At(index+distance))
+	}
+	return chords
+}
+
+// across returns one partner in each other data centre, another one each round.
+func (v view) across(round int) []partner {
+	index := max(v.ring.Index(v.own.Host), 0)
+	var partners []partner
+	for name, hosts := range v.others {
+		host := ranks.New("across "+string(name), hosts).At(index + round)
+		partners = append(partners, partnerOf(v.records[host]))
+	}
+	return partners
+}
+
+// choose returns the partners of this round.
+func (m *Mesh) choose() []partner {
+	v := m.view()
+	m.mu.Lock()
+	m.round++
+	round := m.round
+	m.mu.Unlock()
+	var partners []partner
+	chords := v.chords()
+	if len(chords) > 0 {
+		partners = append(partners, partnerOf(v.records[chords[0]]))
+	}
+	if len(chords) > 1 {
+		partners = append(partners, partnerOf(v.records[chords[1+round%(len(chords)-1)]]))
+	}
+	if across := v.across(round); len(across) > 0 && round%crossEvery == 0 {
+		partners = append(partners, across[round/crossEvery%len(across)])
+	}
+	if round%seedEvery == 0 || len(v.records) == 1 {
+		partners = append(partners, m.farther(v)...)
+	}
+	return partners
+}
+
+// farther returns a lost host and a first contact, so that healed partitions
+// and replaced fleets find each other.
+func (m *Mesh) farther(v view) []partner {
+	var partners []partner
+	if len(v.lost) > 0 {
+		r := v.lost[m.cfg.Source.Uint64()%uint64(len(v.lost))]
+		partners = append(partners, partner{address: r.PeerAddress})
+	}
+	seeds := m.cfg.Seeds()
+	if len(seeds) > 0 {
+		partners = append(partners, partner{address: seeds[m.cfg.Source.Uint64()%uint64(len(seeds))]})
+	}
+	return partners
+}
+
+// begin keeps one exchange per address in progress.
+func (m *Mesh) begin(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy[address] {
+		return false
+	}
+	m.busy[address] = true
+	return true
+}
+
+func (m *Mesh) end(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.busy, address)
+}
+
+// exchange tells the partner the digest, the generation and the news, and
+// fetches what the partner knows better.
+func (m *Mesh) exchange(p partner) {
+	if p.address == m.cfg.Members.Own().PeerAddress || !m.begin(p.address) {
+		return
+	}
+	defer m.end(p.address)
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	answer, err := m.cfg.Overlay.Exchange(ctx, p.address, m.message(p.host))
+	if err != nil {
+		m.failed(p)
+		return
+	}
+	m.answered(p)
+	m.absorb(ctx, p.address, answer)
+}
+
+func (m *Mesh) message(to teaseltack.HostID) teaseltack.Exchange {
+	own := m.cfg.Members.Own()
+	digest, _ := m.cfg.Members.Digest()
+	generation, age := m.cfg.Generation()
+	return teaseltack.Exchange{
+		From:        own.Host,
+		To:          to,
+		FromAddress: own.PeerAddress,
+		Digest:      digest,
+		Generation:  generation,
+		FreshAge:    age,
+		Changed:     m.cfg.Members.News(),
+	}
+}
+
+// absorb takes in an answer.
+func (m *Mesh) absorb(ctx context.Context, address string, answer teaseltack.Exchange) {
+	m.cfg.Members.Merge(answer.Changed)
+	m.cfg.Heard(answer.Generation, answer.FreshAge)
+	m.fetch(ctx, address, answer.Generation)
+	digest, own := m.cfg.Members.Digest()
+	if digest == answer.Digest || len(answer.Buckets) != len(own) {
+		return
+	}
+	var differing []uint32
+	for i := range own {
+		if own[i] != answer.Buckets[i] {
+			differing = append(differing, uint32(i))
+		}
+	}
+	if len(differing) == 0 {
+		return
+	}
+	records, err := m.cfg.Overlay.Pull(ctx, address, differing, m.cfg.Members.InBuckets(differing))
+	if err == nil {
+		m.cfg.Members.Merge(records)
+	}
+}
+
+func (m *Mesh) fetch(ctx context.Context, address string, generation teaseltack.Generation) {
+	known, _ := m.cfg.Generation()
+	if generation <= known {
+		return
+	}
+	document, err := m.cfg.Overlay.FetchDocument(ctx, address, known)
+	if err == nil && document != nil {
+		m.cfg.Adopt(document)
+	}
+}
+
+// Receive answers an exchange that a partner began.
+func (m *Mesh) Receive(message teaseltack.Exchange) teaseltack.Exchange {
+	m.cfg.Members.Merge(message.Changed)
+	m.cfg.Heard(message.Generation, message.FreshAge)
+	known, age := m.cfg.Generation()
+	if message.Generation > known {
+		go m.fetchFrom(message.FromAddress, message.Generation)
+	}
+	own := m.cfg.Members.Own()
+	digest, buckets := m.cfg.Members.Digest()
+	answer := teaseltack.Exchange{From: own.Host, Digest: digest, Generation: known, FreshAge: age}
+	if digest != message.Digest {
+		answer.Buckets = buckets
+		answer.Changed = m.cfg.Members.News()
+	}
+	return answer
+}
+
+func (m *Mesh) fetchFrom(address string, generation teaseltack.Generation) {
+	if !m.begin("document " + address) {
+		return
+	}
+	defer m.end("document " + address)
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	m.fetch(ctx, address, generation)
+}
+
+// failed counts a failed call. A suspicion is raised once per row of failures.
+func (m *Mesh) failed(p partner) {
+	if p.host == "" {
+		return
+	}
+	local := p.dataCentre == m.cfg.Members.Own().DataCentre
+	m.mu.Lock()
+	m.failures[p.host]++
+	suspect := local && m.failures[p.host] == suspectAfter
+	wentOut := !local && m.loseReach(p.dataCentre)
+	m.mu.Unlock()
+	if suspect {
+		m.cfg.Members.Suspect(p.host)
+	}
+	if wentOut {
+		m.cfg.Cut(p.dataCentre, true)
+	}
+}
+
+// loseReach notes a failed call to another data centre and reports whether the
+// data centre went out of reach by it.
+func (m *Mesh) loseReach(name teaseltack.DataCentre) bool {
+	now := m.cfg.Timers.Now()
+	r := m.reaches[name]
+	if r == nil {
+		r = &reach{answeredAt: now}
+		m.reaches[name] = r
+	}
+	if r.cut || now.Sub(r.answeredAt) < cutAfter {
+		return false
+	}
+	r.cut = true
+	return true
+}
+
+func (m *Mesh) answered(p partner) {
+	if p.host == "" {
+		return
+	}
+	m.mu.Lock()
+	delete(m.failures, p.host)
+	r := m.reaches[p.dataCentre]
+	cameBack := r != nil && r.cut
+	m.reaches[p.dataCentre] = &reach{answeredAt: m.cfg.Timers.Now()}
+	m.mu.Unlock()
+	if cameBack {
+		m.cfg.Cut(p.dataCentre, false)
+	}
+}
+
+// CutOff lists the data centres out of reach.
+func (m *Mesh) CutOff() []teaseltack.DataCentre {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []teaseltack.DataCentre
+	for name, r := range m.reaches {
+		if r.cut {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/core/policy/policy.go
@@ -0,0 +1,199 @@
+// Package policy changes the operators' document: checked steps that each raise
+// the generation by one and leave an entry in the audit trail.
+package policy
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+
+	"teaseltack"
+)
+
+const (
+	// maxLifetime bounds a request's lifetime.
+	maxLifetime = 10 * time.Minute
+	// maxRetries bounds the retries of a whole call tree.
+	maxRetries = 10
+	// maxPolicies keeps the document below the size of a platform value.
+	maxPolicies = 4000
+	// maxNote bounds the change id and the operator's name, in bytes.
+	maxNote = 128
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9-]{1,63}$`)
+
+// reservedService is the first part of the doors' own paths.
+const reservedService = "teaseltack"
+
+// Step is one change of the document.
+type Step struct {
+	ChangeID string
+	Who      string
+	Set      []*operatorv1.Policy
+	Remove   []*operatorv1.Policy
+	// Host is marked as leaving or unmarked when not empty.
+	Host    string
+	Leaving bool
+}
+
+// Check returns all faults of the step, each with field, value and what is
+// allowed.
+func (s Step) Check() []error {
+	var faults []error
+	add := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	if s.ChangeID == "" || len(s.ChangeID) > maxNote {
+		add("change-id has %d bytes, allowed are 1 to %d", len(s.ChangeID), maxNote)
+	}
+	if s.Who == "" || len(s.Who) > maxNote {
+		add("who has %d bytes, allowed are 1 to %d", len(s.Who), maxNote)
+	}
+	if len(s.Set)+len(s.Remove) == 0 && s.Host == "" {
+		add("the change is empty: name a policy to set or remove, or a host")
+	}
+	for i, p := range s.Set {
+		faults = append(faults, checkPolicy(fmt.Sprintf("set[%d]", i), p)...)
+	}
+	for i, p := range s.Remove {
+		faults = append(faults, checkTarget(fmt.Sprintf("remove[%d]", i), p)...)
+	}
+	if s.Host != "" && !namePattern.MatchString(s.Host) {
+		add("host is %q, allowed are 1 to 63 of a-z, 0-9 and hyphen", s.Host)
+	}
+	return faults
+}
+
+func checkTarget(path string, p *operatorv1.Policy) []error {
+	var faults []error
+	if !namePattern.MatchString(p.GetService()) || p.GetService() == reservedService {
+		faults = append(faults, fmt.Errorf("%s.service is %q, allowed are 1 to 63 of a-z, 0-9 and hyphen, but not %q", path, p.GetService(), reservedService))
+	}
+	if !namePattern.MatchString(p.GetMethod()) {
+		faults = append(faults, fmt.Errorf("%s.method is %q, allowed are 1 to 63 of a-z, 0-9 and hyphen", path, p.GetMethod()))
+	}
+	return faults
+}
+
+func checkPolicy(path string, p *operatorv1.Policy) []error {
+	faults := checkTarget(path, p)
+	if _, err := teaseltack.ParseClass(p.GetClass()); err != nil {
+		faults = append(faults, fmt.Errorf("%s.%w", path, err))
+	}
+	if p.GetLifetimeMs() < 1 || p.GetLifetimeMs() > maxLifetime.Milliseconds() {
+		faults = append(faults, fmt.Errorf("%s.lifetime-ms is %d, allowed is 1 to %d", path, p.GetLifetimeMs(), maxLifetime.Milliseconds()))
+	}
+	if p.GetRetries() < 0 || p.GetRetries() > maxRetries {
+		faults = append(faults, fmt.Errorf("%s.retries is %d, allowed is 0 to %d", path, p.GetRetries(), maxRetries))
+	}
+	return faults
+}
+
+// Apply returns the document after the step. The step has to pass Check.
+func Apply(document *operatorv1.Document, s Step, at time.Time) (*operatorv1.Document, error) {
+	next := proto.CloneOf(document)
+	next.Generation++
+	for _, p := range s.Set {
+		setPolicy(next, s, at, p)
+	}
+	for _, p := range s.Remove {
+		if err := removePolicy(next, s, at, p); err != nil {
+			return nil, err
+		}
+	}
+	if s.Host != "" {
+		markServer(next, s, at)
+	}
+	if len(next.Policies) > maxPolicies {
+		return nil, fmt.Errorf("policies would be %d, allowed are %d", len(next.Policies), maxPolicies)
+	}
+	return next, nil
+}
+
+func compareTargets(a, b *operatorv1.Policy) int {
+	return cmp.Or(cmp.Compare(a.GetService(), b.GetService()), cmp.Compare(a.GetMethod(), b.GetMethod()))
+}
+
+func setPolicy(d *operatorv1.Document, s Step, at time.Time, p *operatorv1.Policy) {
+	i, found := slices.BinarySearchFunc(d.Policies, p, compareTargets)
+	before := ""
+	if found {
+		before = Describe(d.Policies[i])
+		d.Policies[i] = proto.CloneOf(p)
+	} else {
+		d.Policies = slices.Insert(d.Policies, i, proto.CloneOf(p))
+	}
+	note(d, s, at, "policy "+p.Service+"/"+p.Method, before, Describe(p))
+}
+
+func removePolicy(d *operatorv1.Document, s Step, at time.Time, p *operatorv1.Policy) error {
+	i, found := slices.BinarySearchFunc(d.Policies, p, compareTargets)
+	if !found {
+		return fmt.Errorf("remove is %s/%s, allowed are policies that exist", p.Service, p.Method)
+	}
+	before := Describe(d.Policies[i])
+	d.Policies = slices.Delete(d.Policies, i, i+1)
+	note(d, s, at, "policy "+p.Service+"/"+p.Method, before, "")
+	return nil
+}
+
+func markServer(d *operatorv1.Document, s Step, at time.Time) {
+	i := slices.IndexFunc(d.Leaving, func(m *operatorv1.LeavingMark) bool { return m.Host == s.Host })
+	before, after := "in service", "in service"
+	if i >= 0 {
+		before = "leaving"
+		d.Leaving = slices.Delete(d.Leaving, i, i+1)
+	}
+	if s.Leaving {
+		after = "leaving"
+		d.Leaving = append(d.Leaving, &operatorv1.LeavingMark{Host: s.Host, Who: s.Who, AtUnixMs: at.UnixMilli()})
+	}
+	note(d, s, at, "server "+s.Host, before, after)
+}
+
+func note(d *operatorv1.Document, s Step, at time.Time, what, before, after string) {
+	d.Recent = append(d.Recent, &operatorv1.Change{
+		ChangeId:   s.ChangeID,
+		Generation: d.Generation,
+		Who:        s.Who,
+		AtUnixMs:   at.UnixMilli(),
+		What:       what,
+		Before:     before,
+		After:      after,
+	})
+}
+
+// Describe writes a policy on one line.
+func Describe(p *operatorv1.Policy) string {
+	return fmt.Sprintf("class=%s lifetime-ms=%d non-idempotent=%t retries=%d", p.GetClass(), p.GetLifetimeMs(), p.GetNonIdempotent(), p.GetRetries())
+}
+
+// Touches reports whether a change of the audit trail is about something that
+// the step changes.
+func (s Step) Touches(c *operatorv1.Change) bool {
+	if s.Host != "" && c.GetWhat() == "server "+s.Host {
+		return true
+	}
+	for _, p := range slices.Concat(s.Set, s.Remove) {
+		if c.GetWhat() == "policy "+p.GetService()+"/"+p.GetMethod() {
+			return true
+		}
+	}
+	return false
+}
+
+// ByID returns the changes of a document with the change id.
+func ByID(changes []*operatorv1.Change, id string) []*operatorv1.Change {
+	var found []*operatorv1.Change
+	for _, c := range changes {
+		if c.GetChangeId() == id {
+			found = append(found, c)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/core/watch/watch.go
@@ -0,0 +1,184 @@
+// Package watch learns new generations from the platform. A few daemons per
+// data centre, those first in a rendezvous order of their own view, hold a
+// watch; the others read only when nobody has confirmed the generation lately.
+// The load on the platform grows with the data centres and not with the
+// daemons.
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+
+	"teaseltack"
+	"teaseltack/core/change"
+	"teaseltack/core/force"
+	"teaseltack/core/member"
+	"teaseltack/core/ranks"
+)
+
+const (
+	// watchers is the number of daemons per data centre that hold a watch.
+	watchers = 2
+	// waitTime is how long one watch waits before it is issued anew.
+	waitTime = 4 * time.Second
+	// patience is the time beyond waitTime after which a silent watch is given
+	// up.
+	patience = time.Second
+	// period is the time between two looks at the own duty.
+	period = 250 * time.Millisecond
+	// staleAfter is the age of the last confirmation at which a daemon reads the
+	// platform itself.
+	staleAfter = 8 * time.Second
+	// readGap spaces the reads of the stale daemons of one data centre.
+	readGap = 50 * time.Millisecond
+	// leastRest is the shortest rest between two reads of one daemon.
+	leastRest = 5 * time.Second
+	// retryRest is the rest after a failed watch.
+	retryRest = time.Second
+)
+
+// Config sets up a watcher.
+type Config struct {
+	Timers  teaseltack.Timers
+	Source  teaseltack.Source
+	Store   teaseltack.KeyValue
+	Members *member.Table
+	Holder  *force.Holder
+	Adopt   func(*operatorv1.Document)
+}
+
+// Watcher follows the document. It is safe for concurrent use.
+type Watcher struct {
+	cfg       Config
+	mu        sync.Mutex
+	busy      bool
+	revision  uint64
+	notBefore time.Time
+	reachable bool
+	stop      func()
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+// New returns a watcher that subscribes to the timers until Close.
+func New(cfg Config) *Watcher {
+	w := &Watcher{cfg: cfg}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.stop = cfg.Timers.Every(period, w.tick)
+	return w
+}
+
+// Close ends the subscription to the timers and the watch.
+func (w *Watcher) Close() {
+	w.stop()
+	w.cancel()
+}
+
+// Reachable reports whether the last call to the platform was answered.
+func (w *Watcher) Reachable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reachable
+}
+
+func (w *Watcher) tick() {
+	now := w.cfg.Timers.Now()
+	onDuty, population := w.duty()
+	_, age := w.cfg.Holder.Generation()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.busy || now.Before(w.notBefore) {
+		return
+	}
+	if onDuty {
+		w.busy = true
+		go w.watch()
+		return
+	}
+	if age >= staleAfter {
+		w.busy = true
+		w.notBefore = now.Add(w.rest(population))
+		go w.read()
+	}
+}
+
+// rest spreads the reads of a data centre, so that their rate does not depend
+// on its number of daemons.
+func (w *Watcher) rest(population int) time.Duration {
+	mean := max(leastRest, time.Duration(population)*readGap)
+	return mean/2 + time.Duration(w.cfg.Source.Uint64()%uint64(mean))
+}
+
+// duty reports whether this daemon is among the watchers of its view, and how
+// many daemons its data centre has.
+func (w *Watcher) duty() (bool, int) {
+	own := w.cfg.Members.Own()
+	var hosts []teaseltack.HostID
+	for _, r := range w.cfg.Members.Records() {
+		if r.DataCentre == own.DataCentre && r.State == teaseltack.Alive {
+			hosts = append(hosts, r.Host)
+		}
+	}
+	index := ranks.New("watch", hosts).Index(own.Host)
+	return index >= 0 && index < watchers, len(hosts)
+}
+
+func (w *Watcher) watch() {
+	w.mu.Lock()
+	revision := w.revision
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, waitTime+patience)
+	defer cancel()
+	started := w.cfg.Timers.Now()
+	entry, err := w.cfg.Store.Watch(ctx, change.DocumentKey, revision, waitTime)
+	rest := time.Duration(0)
+	if err != nil {
+		rest = retryRest
+	}
+	w.finish(entry, err, started, rest)
+}
+
+func (w *Watcher) read() {
+	ctx, cancel := context.WithTimeout(w.ctx, patience)
+	defer cancel()
+	started := w.cfg.Timers.Now()
+	entry, err := w.cfg.Store.Get(ctx, change.DocumentKey)
+	w.finish(entry, err, started, 0)
+}
+
+// finish takes in an answer. A frozen daemon may hold an old answer: its age
+// counts from the start of the call, and the holder refuses older generations.
+func (w *Watcher) finish(entry teaseltack.Entry, err error, started time.Time, rest time.Duration) {
+	now := w.cfg.Timers.Now()
+	w.mu.Lock()
+	w.busy = false
+	w.reachable = err == nil
+	if rest > 0 {
+		w.notBefore = now.Add(rest)
+	}
+	if err == nil && entry.Revision > w.revision {
+		w.revision = entry.Revision
+	}
+	w.mu.Unlock()
+	if err != nil {
+		return
+	}
+	w.adopt(entry, now.Sub(started))
+}
+
+func (w *Watcher) adopt(entry teaseltack.Entry, age time.Duration) {
+	if len(entry.Value) == 0 {
+		known, _ := w.cfg.Holder.Generation()
+		w.cfg.Holder.Confirm(known, age)
+		return
+	}
+	document, err := change.Decode(entry.Value)
+	if err != nil {
+		return
+	}
+	w.cfg.Adopt(document)
+	w.cfg.Holder.Confirm(teaseltack.Generation(document.Generation), age)
+}
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,23 @@
+package teaseltack
+
+import "time"
+
+// BucketCount is the number of digest buckets of the membership.
+const BucketCount = 64
+
+// Exchange is the periodic control message between two daemons, and its answer.
+type Exchange struct {
+	From HostID
+	// To is the host that the sender expects at the address; empty at first
+	// contact.
+	To          HostID
+	FromAddress string
+	Digest      uint64
+	Generation  Generation
+	// FreshAge is the time since somebody compared the generation with the
+	// platform.
+	FreshAge time.Duration
+	Changed  []Record
+	// Buckets are the digests per bucket, in an answer whose digest differs.
+	Buckets []uint64
+}
--- /dev/null
+++ b/io/back/back.go
@@ -0,0 +1,150 @@
+// Package back dispatches calls to the local backend server over HTTP/1.1.
+package back
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"teaseltack"
+	"teaseltack/io/header"
+)
+
+const (
+	dialTime = 500 * time.Millisecond
+	idleTime = 15 * time.Second
+)
+
+// Config sets up a server.
+type Config struct {
+	Timers teaseltack.Timers
+	// MaxAnswerBytes bounds one answer.
+	MaxAnswerBytes int64
+}
+
+// Server is the local backend server as the daemon reaches it.
+type Server struct {
+	cfg       Config
+	mu        sync.Mutex
+	address   string
+	transport *http.Transport
+}
+
+var _ teaseltack.Server = (*Server)(nil)
+
+// New returns a server without an address.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg}
+}
+
+// SetAddress names the announced address and the connections allowed to it.
+// Another address gets new connections.
+func (s *Server) SetAddress(address string, connections int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.address == address && s.transport != nil {
+		return
+	}
+	if s.transport != nil {
+		s.transport.CloseIdleConnections()
+	}
+	s.address = address
+	s.transport = &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}
+}
+
+func (s *Server) target() (string, *http.Transport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address, s.transport
+}
+
+// onceBody is a body that the HTTP library cannot rewind. Without it the
+// library silently sends some requests a second time on a new connection.
+type onceBody struct {
+	io.Reader
+}
+
+// Close does nothing: the bytes belong to the call.
+func (onceBody) Close() error { return nil }
+
+// Dispatch sends the call and reads the whole answer. Its error is a
+// *Refusal.
+func (s *Server) Dispatch(ctx context.Context, call *teaseltack.Call, contextToken string) (*teaseltack.Answer, error) {
+	address, transport := s.target()
+	if transport == nil {
+		return nil, teaseltack.Refuse(teaseltack.ReasonNoServer, "no address was announced")
+	}
+	request, err := s.request(ctx, address, call, contextToken)
+	if err != nil {
+		return nil, teaseltack.Refuse(teaseltack.ReasonBadRequest, "%v", err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, s.broken(ctx, transport, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, s.cfg.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, s.cut(ctx, transport, err)
+	}
+	if int64(len(body)) > s.cfg.MaxAnswerBytes {
+		return nil, &teaseltack.Refusal{Verdict: teaseltack.Ran, Reason: teaseltack.ReasonTooLarge,
+			Detail: fmt.Sprintf("the answer is larger than %d bytes", s.cfg.MaxAnswerBytes)}
+	}
+	return &teaseltack.Answer{Status: response.StatusCode, Headers: header.Passed(response.Header), Body: body}, nil
+}
+
+func (s *Server) request(ctx context.Context, address string, call *teaseltack.Call, contextToken string) (*http.Request, error) {
+	url := "http://" + address + "/" + string(call.Target.Method)
+	if call.Payload.Query != "" {
+		url += "?" + call.Payload.Query
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Payload.Verb, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("building the request: %w", err)
+	}
+	request.Body = onceBody{bytes.NewReader(call.Payload.Body)}
+	request.ContentLength = int64(len(call.Payload.Body))
+	for _, f := range call.Payload.Headers {
+		request.Header.Add(f.Name, f.Value)
+	}
+	remaining := call.Deadline.Sub(s.cfg.Timers.Now())
+	header.RequestID.Set(request.Header, string(call.ID))
+	header.Context.Set(request.Header, contextToken)
+	header.Class.Set(request.Header, call.Priority.Class.String())
+	header.LifetimeMs.Set(request.Header, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+	return request, nil
+}
+
+// broken gives the verdict on a request without an answer. Only a connection
+// that was never made proves that the request did not run.
+func (s *Server) broken(ctx context.Context, transport *http.Transport, err error) *teaseltack.Refusal {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return teaseltack.Refuse(teaseltack.ReasonServer, "connecting to the server: %v", err)
+	}
+	return s.cut(ctx, transport, err)
+}
+
+// cut drops the kept connections after a time-out, since others may have gone
+// silent with it.
+func (s *Server) cut(ctx context.Context, transport *http.Transport, err error) *teaseltack.Refusal {
+	transport.CloseIdleConnections()
+	if ctx.Err() != nil {
+		return teaseltack.Doubt(teaseltack.ReasonLifetime, "the server did not answer in time")
+	}
+	return teaseltack.Doubt(teaseltack.ReasonAnswerCut, "the server's answer broke off: %v", err)
+}
--- /dev/null
+++ b/io/cmds/platform.go
@@ -0,0 +1,59 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"teaseltack/gen/teaseltack/platform/v1/platformv1connect"
+	"teaseltack/io/clock"
+	"teaseltack/io/front"
+	"teaseltack/io/stand"
+)
+
+var platformCommand = command{
+	name: "platform",
+	help: "Run a stand-in for the platform's key-value service.",
+	define: func(clause *kingpin.CmdClause) action {
+		address := clause.Flag("listen", "IP:PORT.").Default("127.0.0.1:7900").String()
+		delay := clause.Flag("delay", "Delay of every answer.").Default("0s").Duration()
+		downAfter := clause.Flag("down-after", "Time until a scripted outage; 0 has none.").Default("0s").Duration()
+		downFor := clause.Flag("down-for", "Length of the outage.").Default("10s").Duration()
+		lose := clause.Flag("lose-answers", "Number of writes whose answers are lost after they took effect.").Default("0").Int()
+		return func(e *env) error {
+			server, err := front.Listen(front.Config{Name: "platform", Address: *address})
+			if err != nil {
+				return err
+			}
+			platform := stand.New(stand.Config{Timers: clock.Clock{}})
+			platform.SetDelay(*delay)
+			platform.LoseAnswers(*lose)
+			if *downAfter > 0 {
+				time.AfterFunc(*downAfter, func() { platform.SetDown(true) })
+				time.AfterFunc(*downAfter+*downFor, func() { platform.SetDown(false) })
+			}
+			return servePlatform(e, server, platform)
+		}
+	},
+}
+
+func servePlatform(e *env, server *front.Server, platform *stand.Stand) error {
+	const endTime = 40 * time.Second
+	mux := http.NewServeMux()
+	mux.Handle(platformv1connect.NewKeyValueServiceHandler(platform))
+	server.Handle(mux)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve() }()
+	_, _ = fmt.Fprintf(e.stdout, "platform at %s\n", server.Address())
+	select {
+	case err := <-failed:
+		return err
+	case <-e.ctx.Done():
+	}
+	ctx, cancel := context.WithTimeout(e.hard, endTime)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
--- /dev/null
+++ b/io/cmds/server.go
@@ -0,0 +1,74 @@
+package cmds
+
+import (
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/alecthomas/kingpin/v2"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+)
+
+var serverCommand = command{
+	name: "server",
+	help: "Take backend servers out of service and back.",
+	sub: []command{
+		{name: "leave", help: "Mark the backend server of a host as leaving: it gets no new work.", define: defineMark(true)},
+		{name: "return", help: "Take the mark back.", define: defineMark(false)},
+		{name: "list", help: "List the backend servers.", define: defineStatus},
+	},
+}
+
+func defineMark(leaving bool) func(*kingpin.CmdClause) action {
+	return func(clause *kingpin.CmdClause) action {
+		flags, change := defineClient(clause), defineChange(clause)
+		host := clause.Arg("host", "Name of the host.").Required().String()
+		return func(e *env) error {
+			client, err := flags.client()
+			if err != nil {
+				return err
+			}
+			request := &operatorv1.MarkServerRequest{ChangeId: change.id(), Who: change.name(), Host: *host, Leaving: leaving}
+			response, err := client.MarkServer(e.ctx, connect.NewRequest(request))
+			if err != nil {
+				return unknownOutcome(request.ChangeId, err)
+			}
+			return conclude(e, *flags.asJSON, request.ChangeId, response.Msg.Outcome)
+		}
+	}
+}
+
+var statusCommand = command{
+	name:   "status",
+	help:   "Print what a daemon knows of the hosts and of the generation in force.",
+	define: defineStatus,
+}
+
+func defineStatus(clause *kingpin.CmdClause) action {
+	flags := defineClient(clause)
+	return func(e *env) error {
+		client, err := flags.client()
+		if err != nil {
+			return err
+		}
+		response, err := client.GetStatus(e.ctx, connect.NewRequest(&operatorv1.GetStatusRequest{}))
+		if err != nil {
+			return fmt.Errorf("reading the status: %w", err)
+		}
+		if *flags.asJSON {
+			return printMessage(e.stdout, response.Msg)
+		}
+		return printStatus(e, response.Msg)
+	}
+}
+
+func printStatus(e *env, s *operatorv1.GetStatusResponse) error {
+	_, _ = fmt.Fprintf(e.stdout, "host %s, generation %d, %d hosts known, %d behind, platform reachable: %t, data centres out of reach: %v\n",
+		s.Host, s.Generation, s.HostsKnown, s.HostsBehind, s.PlatformReachable, s.DataCentresUnreachable)
+	table := newTable(e.stdout)
+	_, _ = fmt.Fprintln(table, "HOST\tDATA-CENTRE\tSERVICE\tSLOTS\tSTATE\tSERVING\tGENERATION\tEJECTED")
+	for _, h := range s.Hosts {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%t\n", h.Host, h.DataCentre, orDash(h.Service), h.Slots, h.State, h.Serving, h.Generation, h.Ejected)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/io/config/config.go
@@ -0,0 +1,211 @@
+// Package config reads a daemon's settings: JSON with comments, checked in full
+// before anything starts. All faults are reported at once with line and column.
+package config
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Settings are a daemon's settings. docs/SETTINGS.md describes them.
+type Settings struct {
+	Host               string   `json:"host"`
+	DataCentre         string   `json:"data-centre"`
+	Region             string   `json:"region"`
+	OuterAddress       string   `json:"outer-address"`
+	InnerAddress       string   `json:"inner-address"`
+	PeerAddress        string   `json:"peer-address"`
+	OperatorAddress    string   `json:"operator-address"`
+	PlatformAddress    string   `json:"platform-address"`
+	Peers              []string `json:"peers"`
+	Near               []string `json:"near"`
+	PeerKey            string   `json:"peer-key"`
+	OperatorKey        string   `json:"operator-key"`
+	MaxWaitMs          int64    `json:"max-wait-ms"`
+	MaxBodyBytes       int64    `json:"max-body-bytes"`
+	MaxAnswerBytes     int64    `json:"max-answer-bytes"`
+	MaxCallers         int64    `json:"max-callers"`
+	DefaultLifetimeMs  int64    `json:"default-lifetime-ms"`
+	TicketLifetimeS    int64    `json:"ticket-lifetime-s"`
+	KeyLifetimeS       int64    `json:"key-lifetime-s"`
+	ClaimsPerSecond    int64    `json:"claims-per-second"`
+	AnnouncementTTLMs  int64    `json:"announcement-ttl-ms"`
+	ShutdownS          int64    `json:"shutdown-s"`
+	LogLevel           string   `json:"log-level"`
+	MaxRemembered      int64    `json:"max-remembered"`
+	MaxRememberedBytes int64    `json:"max-remembered-bytes"`
+}
+
+// defaults returns the settings before a file is read.
+func defaults() Settings {
+	return Settings{
+		MaxWaitMs:          100,
+		MaxBodyBytes:       8 << 20,
+		MaxAnswerBytes:     8 << 20,
+		MaxCallers:         4096,
+		DefaultLifetimeMs:  2000,
+		TicketLifetimeS:    120,
+		KeyLifetimeS:       3600,
+		ClaimsPerSecond:    100,
+		AnnouncementTTLMs:  3000,
+		ShutdownS:          30,
+		LogLevel:           "info",
+		MaxRemembered:      50_000,
+		MaxRememberedBytes: 8 << 20,
+	}
+}
+
+type bounds struct {
+	key         string
+	value       func(*Settings) int64
+	least, most int64
+}
+
+var numberBounds = []bounds{
+	{"max-wait-ms", func(s *Settings) int64 { return s.MaxWaitMs }, 1, 10_000},
+	{"max-body-bytes", func(s *Settings) int64 { return s.MaxBodyBytes }, 1024, 64 << 20},
+	{"max-answer-bytes", func(s *Settings) int64 { return s.MaxAnswerBytes }, 1024, 64 << 20},
+	{"max-callers", func(s *Settings) int64 { return s.MaxCallers }, 1, 100_000},
+	{"default-lifetime-ms", func(s *Settings) int64 { return s.DefaultLifetimeMs }, 1, 600_000},
+	{"ticket-lifetime-s", func(s *Settings) int64 { return s.TicketLifetimeS }, 1, 86_400},
+	{"key-lifetime-s", func(s *Settings) int64 { return s.KeyLifetimeS }, 1, 604_800},
+	{"claims-per-second", func(s *Settings) int64 { return s.ClaimsPerSecond }, 1, 10_000},
+	{"announcement-ttl-ms", func(s *Settings) int64 { return s.AnnouncementTTLMs }, 100, 60_000},
+	{"shutdown-s", func(s *Settings) int64 { return s.ShutdownS }, 1, 3600},
+	{"max-remembered", func(s *Settings) int64 { return s.MaxRemembered }, 100, 10_000_000},
+	{"max-remembered-bytes", func(s *Settings) int64 { return s.MaxRememberedBytes }, 0, 1 << 30},
+}
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9-]{1,63}$`)
+	logLevels   = []string{"debug", "info", "warn", "error"}
+)
+
+// faults are all that is wrong with a file, one line each.
+type faults []string
+
+// Error returns the lines.
+func (f faults) Error() string {
+	return strings.Join(f, "\n")
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("reading the settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file; path stands in the errors.
+func Parse(path string, text []byte) (*Settings, error) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, faults{fmt.Sprintf("%s: %v", path, err)}
+	}
+	settings := defaults()
+	p := &parser{path: path, text: text, at: map[string]int{}}
+	p.fill(&settings, root)
+	if len(p.faults) == 0 {
+		p.check(&settings)
+	}
+	if len(p.faults) > 0 {
+		return nil, p.faults
+	}
+	return &settings, nil
+}
+
+type parser struct {
+	path   string
+	text   []byte
+	at     map[string]int
+	faults faults
+}
+
+// fault notes a fault at a byte offset.
+func (p *parser) fault(offset int, format string, args ...any) {
+	before := p.text[:min(offset, len(p.text))]
+	line := strings.Count(string(before), "\n") + 1
+	column := offset - strings.LastIndex(string(before), "\n")
+	p.faults = append(p.faults, fmt.Sprintf("%s:%d:%d: %s", p.path, line, column, fmt.Sprintf(format, args...)))
+}
+
+// faultAt notes a fault at the value of a key, or at the start of the file.
+func (p *parser) faultAt(key, format string, args ...any) {
+	p.fault(p.at[key], "%s "+format, append([]any{key}, args...)...)
+}
+
+func (p *parser) check(s *Settings) {
+	for _, name := range []struct{ key, value string }{{"host", s.Host}, {"data-centre", s.DataCentre}} {
+		if !namePattern.MatchString(name.value) {
+			p.faultAt(name.key, "is %q, allowed are 1 to 63 of a-z, 0-9 and hyphen", name.value)
+		}
+	}
+	if s.Region != "" && !namePattern.MatchString(s.Region) {
+		p.faultAt("region", "is %q, allowed are 1 to 63 of a-z, 0-9 and hyphen", s.Region)
+	}
+	for _, b := range numberBounds {
+		if v := b.value(s); v < b.least || v > b.most {
+			p.faultAt(b.key, "is %d, allowed is %d to %d", v, b.least, b.most)
+		}
+	}
+	if !contains(logLevels, s.LogLevel) {
+		p.faultAt("log-level", "is %q, allowed are %s", s.LogLevel, strings.Join(logLevels, ", "))
+	}
+	p.checkAddresses(s)
+	if s.KeyLifetimeS < s.TicketLifetimeS {
+		p.faultAt("key-lifetime-s", "is %d, allowed is at least ticket-lifetime-s, which is %d", s.KeyLifetimeS, s.TicketLifetimeS)
+	}
+	if s.DefaultLifetimeMs <= s.MaxWaitMs {
+		p.faultAt("default-lifetime-ms", "is %d, allowed is more than max-wait-ms, which is %d", s.DefaultLifetimeMs, s.MaxWaitMs)
+	}
+}
+
+func (p *parser) checkAddresses(s *Settings) {
+	doors := []struct{ key, value string }{
+		{"outer-address", s.OuterAddress}, {"inner-address", s.InnerAddress},
+		{"peer-address", s.PeerAddress}, {"operator-address", s.OperatorAddress},
+	}
+	taken := map[string]string{}
+	for _, d := range doors {
+		if !p.checkAddress(d.key, d.value, 0) {
+			continue
+		}
+		if other, ok := taken[d.value]; ok && !strings.HasSuffix(d.value, ":0") {
+			p.faultAt(d.key, "is %q, allowed is an address that %s does not use", d.value, other)
+		}
+		taken[d.value] = d.key
+	}
+	if s.PlatformAddress != "" {
+		p.checkAddress("platform-address", s.PlatformAddress, 1)
+	}
+	for _, peer := range s.Peers {
+		p.checkAddress("peers", peer, 1)
+	}
+}
+
+func (p *parser) checkAddress(key, value string, leastPort int) bool {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.Atoi(port)
+	if err != nil || portErr != nil || net.ParseIP(host) == nil || number < leastPort || number > 65535 {
+		p.faultAt(key, "is %q, allowed is IP:PORT with a port from %d to 65535", value, leastPort)
+		return false
+	}
+	return true
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/daemon/announce.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"teaseltack"
+	"teaseltack/io/outer"
+)
+
+const (
+	// announcementCheck is the period of the look for lapsed announcements.
+	announcementCheck = 200 * time.Millisecond
+	maxSlots          = 100_000
+)
+
+// announce takes in what the local server says of itself.
+func (d *Daemon) announce(a outer.Announcement) error {
+	if err := checkAnnounced(a.Address); err != nil {
+		return err
+	}
+	if a.Service == "" {
+		return fmt.Errorf("service is %q, allowed is the name of a service", a.Service)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return fmt.Errorf("slots is %d, allowed is 1 to %d", a.Slots, maxSlots)
+	}
+	if a.Connections < a.Slots || a.Connections > maxSlots {
+		return fmt.Errorf("connections is %d, allowed is slots, which is %d, to %d", a.Connections, a.Slots, maxSlots)
+	}
+	d.mu.Lock()
+	before := d.announcement
+	d.announcement = announcement{
+		service: teaseltack.Service(a.Service), address: a.Address, instance: a.Instance,
+		leaving: a.Leaving, renewed: d.timers.Now(), slots: a.Slots,
+	}
+	cold := before.instance != a.Instance || before.renewed.IsZero()
+	d.mu.Unlock()
+	d.server.SetAddress(a.Address, a.Connections)
+	d.gate.Resize(a.Slots, a.Connections, cold)
+	if cold {
+		d.log.Info("server announced", "service", a.Service, "address", a.Address, "slots", a.Slots, "connections", a.Connections)
+	}
+	d.applyServing()
+	d.members.UpdateOwn(func(r *teaseltack.Record) {
+		r.Service = teaseltack.Service(a.Service)
+		r.Slots = a.Slots
+		r.Connections = a.Connections
+	})
+	return nil
+}
+
+// serving returns the state of the local server from the announcement, the
+// operators' marks and the daemon's own shutdown.
+func (d *Daemon) serving() (teaseltack.Service, teaseltack.Serving) {
+	d.mu.Lock()
+	a := d.announcement
+	d.mu.Unlock()
+	switch {
+	case a.renewed.IsZero() || d.timers.Now().Sub(a.renewed) > milliseconds(d.settings.AnnouncementTTLMs):
+		return a.service, teaseltack.Absent
+	case a.leaving || d.stopping.Load() || d.holder.Leaving(teaseltack.HostID(d.settings.Host)):
+		return a.service, teaseltack.Leaving
+	}
+	return a.service, teaseltack.Ready
+}
+
+// applyServing tells the home first, so that stale entries are refused, and the
+// membership after it.
+func (d *Daemon) applyServing() {
+	service, serving := d.serving()
+	if _, before := d.home.Serving(); before != serving {
+		d.log.Info("server state changed", "service", service, "serving", serving)
+	}
+	d.home.SetServing(service, serving)
+	d.members.UpdateOwn(func(r *teaseltack.Record) { r.Serving = serving })
+}
+
+func (d *Daemon) checkAnnouncement() {
+	if _, before := d.home.Serving(); before == teaseltack.Absent {
+		return
+	}
+	d.applyServing()
+}
--- /dev/null
+++ b/io/daemon/doors.go
@@ -0,0 +1,120 @@
+package daemon
+
+import (
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"teaseltack"
+	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
+	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
+	"teaseltack/io/auth"
+	"teaseltack/io/front"
+	"teaseltack/io/metric"
+	"teaseltack/io/oper"
+	"teaseltack/io/outer"
+	"teaseltack/io/peer"
+	"teaseltack/io/random"
+)
+
+// openDoors listens on the four addresses. The handlers follow in handle, since
+// the parts need the addresses.
+func (d *Daemon) openDoors() error {
+	s := d.settings
+	var err error
+	open := func(name, address string, most int) *front.Server {
+		if err != nil {
+			return nil
+		}
+		var server *front.Server
+		server, err = front.Listen(front.Config{Name: name, Address: address, MaxConnections: most})
+		return server
+	}
+	d.doors.outer = open("outer door", s.OuterAddress, int(s.MaxCallers))
+	d.doors.inner = open("inner door", s.InnerAddress, 0)
+	d.doors.peer = open("peer door", s.PeerAddress, 0)
+	d.doors.operator = open("operator door", s.OperatorAddress, 0)
+	return err
+}
+
+// handle puts the handlers behind the doors.
+func (d *Daemon) handle() {
+	s := d.settings
+	source := random.New()
+	d.doors.outer.Handle(outer.New(outer.Config{
+		Timers: d.timers, Source: source, Entry: d.entry, Log: d.log.Named("outer"), MaxBodyBytes: s.MaxBodyBytes, Ready: d.ready.Load,
+	}))
+	d.doors.inner.Handle(outer.New(outer.Config{
+		Timers: d.timers, Source: source, Entry: d.entry, Log: d.log.Named("inner"), MaxBodyBytes: s.MaxBodyBytes, Announce: d.announce,
+	}))
+	peers := http.NewServeMux()
+	peers.Handle(peerv1connect.NewPeerServiceHandler(
+		peer.New(peer.Config{Timers: d.timers, Host: teaseltack.HostID(s.Host), Home: d.home, Mesh: d.mesh, Members: d.members, Holder: d.holder}),
+		connect.WithReadMaxBytes(int(s.MaxBodyBytes)+messageOverhead),
+	))
+	d.doors.peer.Handle(auth.Key(s.PeerKey).Wrap(peers))
+	d.doors.operator.Handle(d.operatorHandler())
+}
+
+func (d *Daemon) operatorHandler() http.Handler {
+	const maxChangeBytes = 1 << 20
+	operators := http.NewServeMux()
+	operators.Handle(operatorv1connect.NewOperatorServiceHandler(
+		oper.New(oper.Config{
+			Log: d.log.Named("operator"), Changer: d.changer, Watcher: d.watcher,
+			Holder: d.holder, Members: d.members, Mesh: d.mesh, Router: d.router,
+		}),
+		connect.WithReadMaxBytes(maxChangeBytes),
+	))
+	mux := http.NewServeMux()
+	mux.Handle("/", auth.Key(d.settings.OperatorKey).Wrap(operators))
+	mux.Handle("/metrics", d.metrics.Handler())
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("/readyz", d.answerReady)
+	return mux
+}
+
+func (d *Daemon) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (d *Daemon) gauges() metric.Gauges {
+	return metric.Gauges{
+		Load: func() teaseltack.Load { return d.gate.Load() },
+		Generation: func() float64 {
+			generation, _ := d.holder.Generation()
+			return float64(generation)
+		},
+		Behind:   func() float64 { return float64(d.countRecords(d.behind)) },
+		Hosts:    func() float64 { return float64(d.countRecords(func(teaseltack.Record) bool { return true })) },
+		Tickets:  func() float64 { return float64(d.tickets.Len()) },
+		Platform: d.platformGauge,
+		Cut:      func() float64 { return float64(len(d.mesh.CutOff())) },
+	}
+}
+
+func (d *Daemon) behind(r teaseltack.Record) bool {
+	generation, _ := d.holder.Generation()
+	return r.Generation < generation
+}
+
+func (d *Daemon) countRecords(keep func(teaseltack.Record) bool) int {
+	count := 0
+	for _, r := range d.members.Records() {
+		if r.State < teaseltack.Dead && keep(r) {
+			count++
+		}
+	}
+	return count
+}
+
+func (d *Daemon) platformGauge() float64 {
+	if d.watcher != nil && d.watcher.Reachable() {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/io/demo/demo.go
@@ -0,0 +1,264 @@
+// Package demo shows the main job in one process.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+
+	"teaseltack"
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	"teaseltack/io/load"
+)
+
+const (
+	requestTime   = time.Second
+	surgeTime     = 3 * time.Second
+	recoveryBound = 2 * time.Second
+	probeGap      = 20 * time.Millisecond
+	steadyProbes  = 10
+	// surgeFactor is the offered load in multiples of the capacity.
+	surgeFactor = 4
+	// protectedShare is the share of the surge that is protected.
+	protectedShare = 0.1
+)
+
+// Config sets up a demo.
+type Config struct {
+	Out io.Writer
+	Log hclog.Logger
+}
+
+// Demo is the demo of both users' services.
+type Demo struct {
+	cfg     Config
+	results []result
+}
+
+// result is one row of the closing table.
+type result struct {
+	user    string
+	promise string
+	seen    string
+	kept    bool
+}
+
+// site is one user's part of the demo.
+type site struct {
+	user     string
+	hosts    []host
+	policies []*operatorv1.Policy
+	lookup   teaseltack.Target
+	payment  teaseltack.Target
+	capacity float64
+}
+
+// New returns a demo.
+func New(cfg Config) *Demo {
+	return &Demo{cfg: cfg}
+}
+
+func target(service, method string) teaseltack.Target {
+	return teaseltack.Target{Service: teaseltack.Service(service), Method: teaseltack.Method(method)}
+}
+
+func policyOf(t teaseltack.Target, class teaseltack.Class, nonIdempotent bool, retries int32) *operatorv1.Policy {
+	return &operatorv1.Policy{
+		Service: string(t.Service), Method: string(t.Method), Class: class.String(),
+		LifetimeMs: requestTime.Milliseconds(), NonIdempotent: nonIdempotent, Retries: retries,
+	}
+}
+
+// newSite lays out three hosts in two data centres: one server of the upper
+// service, whose calls go on to two unequal servers of the lower one.
+func newSite(user, upper, lower, lookup, payment string, dataCentres [2]string) site {
+	const retries = 3
+	look, pay, balance := target(upper, lookup), target(lower, payment), target(lower, "check")
+	return site{
+		user:    user,
+		lookup:  look,
+		payment: pay,
+		hosts: []host{
+			{name: user + "-" + lower + "-1", dataCentre: dataCentres[0], service: pay.Service, slots: 6, work: 20 * time.Millisecond},
+			{name: user + "-" + lower + "-2", dataCentre: dataCentres[1], service: pay.Service, slots: 3, work: 30 * time.Millisecond},
+			{name: user + "-" + upper + "-1", dataCentre: dataCentres[0], service: look.Service, slots: 24, work: 10 * time.Millisecond, nested: []teaseltack.Target{balance}},
+		},
+		policies: []*operatorv1.Policy{
+			policyOf(look, teaseltack.ClassNormal, false, retries),
+			policyOf(balance, teaseltack.ClassNormal, false, retries),
+			policyOf(pay, teaseltack.ClassProtected, true, retries),
+		},
+		capacity: 6/0.020 + 3/0.030,
+	}
+}
+
+// Run shows both sites and fails when a promise broke.
+func (d *Demo) Run(ctx context.Context) error {
+	sites := []site{
+		newSite("kijiko", "orders", "till", "look-up", "post-payment", [2]string{"arusha-a", "arusha-b"}),
+		newSite("dutos", "mapa", "reservas", "check-route", "reserve-segment", [2]string{"sul-a", "sul-b"}),
+	}
+	for _, s := range sites {
+		if err := d.show(ctx, s); err != nil {
+			return fmt.Errorf("showing %s: %w", s.user, err)
+		}
+	}
+	return d.close()
+}
+
+func (d *Demo) say(user, format string, args ...any) {
+	_, _ = fmt.Fprintf(d.cfg.Out, "%-7s %s\n", user, fmt.Sprintf(format, args...))
+}
+
+func (d *Demo) note(user, promise string, kept bool, format string, args ...any) {
+	seen := fmt.Sprintf(format, args...)
+	d.results = append(d.results, result{user, promise, seen, kept})
+	d.say(user, "%s: %s", promise, seen)
+}
+
+func (d *Demo) show(ctx context.Context, s site) error {
+	d.say(s.user, "starting a stand-in platform, three daemons in two data centres and unequal backend servers")
+	f, err := startFleet(ctx, d.cfg.Log, s.hosts)
+	if err != nil {
+		return err
+	}
+	steps := []func(context.Context, site, *fleet) error{d.configure, d.nested, d.repeatPayment, d.surge}
+	for _, step := range steps {
+		if err := step(ctx, s, f); err != nil {
+			f.stop()
+			return err
+		}
+	}
+	faults := f.stop()
+	d.note(s.user, "graceful shutdown", len(faults) == 0, "%d parts cut requests", len(faults))
+	return nil
+}
+
+func (d *Demo) configure(ctx context.Context, s site, f *fleet) error {
+	started := time.Now()
+	response, err := f.operator(0).ApplyPolicies(ctx, connect.NewRequest(&operatorv1.ApplyPoliciesRequest{
+		ChangeId: "demo-" + s.user, Who: "demo", Set: s.policies,
+	}))
+	if err != nil {
+		return fmt.Errorf("applying policies: %w", err)
+	}
+	o := response.Msg.Outcome
+	if o.Result != "accepted" {
+		return fmt.Errorf("policies were %s: %s", o.Result, o.Detail)
+	}
+	err = f.await(ctx, func(st *operatorv1.GetStatusResponse) bool { return st.Generation >= o.Generation })
+	const bound = 13 * time.Second
+	took := time.Since(started)
+	d.note(s.user, "configuration in force", err == nil && took < bound, "generation %d at every daemon after %d ms", o.Generation, took.Milliseconds())
+	return err
+}
+
+func (d *Demo) caller(f *fleet, t teaseltack.Target, rate float64, repeats int, keys bool) *load.Caller {
+	return load.New(load.Config{
+		Entries: f.entries(), Targets: []teaseltack.Target{t}, Rate: rate, Duration: surgeTime, Lifetime: requestTime, Repeats: repeats, Keys: keys,
+	})
+}
+
+func (d *Demo) nested(ctx context.Context, s site, f *fleet) error {
+	reply := d.caller(f, s.lookup, 1, 0, false).Send(ctx, 0)
+	d.note(s.user, "whole answer through a chain", reply.Status == http.StatusOK,
+		"%s -> %s answered %d: %.60q", s.lookup, s.payment.Service, reply.Status, reply.Body)
+	return nil
+}
+
+// repeatPayment posts one payment five times at once through all daemons.
+func (d *Demo) repeatPayment(ctx context.Context, s site, f *fleet) error {
+	const copies = 5
+	key := "payment-of-" + s.user
+	replies := make([]int, copies)
+	var group sync.WaitGroup
+	for i := range copies {
+		group.Go(func() { replies[i] = post(ctx, f.entries()[i%len(f.daemons)], s.payment, key, i) })
+	}
+	group.Wait()
+	runs := f.runsOf(key)
+	d.note(s.user, "at most once", runs == 1, "a payment sent %d times through %d daemons ran %d time(s), answers %v", copies, len(f.daemons), runs, replies)
+	return nil
+}
+
+func post(ctx context.Context, entry string, t teaseltack.Target, key string, attempt int) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+t.String(), nil)
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Idempotency-Key", key)
+	request.Header.Set("Teaseltack-Attempt", fmt.Sprint(attempt))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+// surge offers a multiple of the capacity and times the recovery.
+func (d *Demo) surge(ctx context.Context, s site, f *fleet) error {
+	offered := surgeFactor * s.capacity
+	d.say(s.user, "surge: %.0f requests/s for %v, the capacity is about %.0f/s", offered, surgeTime, s.capacity)
+	lookups := d.caller(f, s.lookup, offered*(1-protectedShare), 2, false)
+	payments := d.caller(f, s.payment, offered*protectedShare, 2, true)
+	var group sync.WaitGroup
+	var low, high load.Report
+	group.Go(func() { low = lookups.Run(ctx) })
+	group.Go(func() { high = payments.Run(ctx) })
+	group.Wait()
+	ended := time.Now()
+	goodput := low.Goodput + high.Goodput
+	d.note(s.user, "goodput in the surge", goodput >= s.capacity/2, "%.0f whole answers/s of %.0f/s capacity", goodput, s.capacity)
+	d.note(s.user, "payments shed last", float64(high.Whole) >= 0.99*float64(high.Sent), "%d of %d payments whole, %d of %d look-ups whole", high.Whole, high.Sent, low.Whole, low.Sent)
+	d.note(s.user, "nothing ran twice", f.repeated() == 0, "%d of %d payments ran more than once", f.repeated(), high.Sent)
+	d.recover(ctx, s, f, ended)
+	return nil
+}
+
+// recover sends single look-ups until a row of them is answered.
+func (d *Demo) recover(ctx context.Context, s site, f *fleet, ended time.Time) {
+	caller := d.caller(f, s.lookup, 1, 0, false)
+	var recovered time.Duration
+	for row, n := 0, 0; row < steadyProbes && time.Since(ended) < 2*recoveryBound; n++ {
+		began := time.Since(ended)
+		if caller.Send(ctx, n).Status != http.StatusOK {
+			row = 0
+		} else {
+			if row == 0 {
+				recovered = began
+			}
+			row++
+		}
+		time.Sleep(probeGap)
+	}
+	d.note(s.user, "overload ends", recovered <= recoveryBound && time.Since(ended) < 2*recoveryBound, "normal service %d ms after the surge", recovered.Milliseconds())
+}
+
+// close prints the closing table and fails when a promise broke.
+func (d *Demo) close() error {
+	table := tabwriter.NewWriter(d.cfg.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "\nUSER\tPROMISE\tKEPT\tSEEN")
+	broken := 0
+	for _, r := range d.results {
+		kept := "yes"
+		if !r.kept {
+			kept = "NO"
+			broken++
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", r.user, r.promise, kept, r.seen)
+	}
+	_ = table.Flush()
+	if broken > 0 {
+		return fmt.Errorf("%d promises broke", broken)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/dial/dial.go
@@ -0,0 +1,168 @@
+// Package dial is the client side of the protocol between daemons.
+package dial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"teaseltack"
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	peerv1 "teaseltack/gen/teaseltack/peer/v1"
+	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
+	"teaseltack/io/auth"
+	"teaseltack/io/wire"
+)
+
+const (
+	// pingAfter is the silence on a connection after which it is checked.
+	pingAfter = 2 * time.Second
+	// pingTime is the time after which an unanswered check drops the connection,
+	// so that the next call dials a new one.
+	pingTime = time.Second
+	dialTime = time.Second
+	idleTime = 10 * time.Second
+)
+
+// Config sets up a client.
+type Config struct {
+	Timers teaseltack.Timers
+	Key    auth.Key
+	// MaxMessageBytes bounds one answer.
+	MaxMessageBytes int
+}
+
+// Client calls other daemons. It is safe for concurrent use.
+type Client struct {
+	cfg     Config
+	http    *http.Client
+	codec   wire.Codec
+	mu      sync.Mutex
+	clients map[string]peerv1connect.PeerServiceClient
+}
+
+var (
+	_ teaseltack.Homes   = (*Client)(nil)
+	_ teaseltack.Overlay = (*Client)(nil)
+)
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols:       protocols,
+		DialContext:     (&net.Dialer{Timeout: dialTime}).DialContext,
+		IdleConnTimeout: idleTime,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime},
+	}
+	return &Client{
+		cfg:     cfg,
+		http:    &http.Client{Transport: cfg.Key.Transport(transport)},
+		clients: map[string]peerv1connect.PeerServiceClient{},
+	}
+}
+
+func (c *Client) to(address string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client := c.clients[address]
+	if client == nil {
+		client = peerv1connect.NewPeerServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(c.cfg.MaxMessageBytes))
+		c.clients[address] = client
+	}
+	return client
+}
+
+// Forward hands a call to its home.
+func (c *Client) Forward(ctx context.Context, to teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
+	request := c.codec.CallOut(to.Host, call, c.cfg.Timers.Now())
+	response, err := c.to(to.PeerAddress).Forward(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, refusalOf(ctx, to, err)
+	}
+	return c.codec.AnswerIn(response.Msg), nil
+}
+
+// refusalOf gives the verdict on a call without an answer. Only a connection
+// that was never made proves that no byte was handed over.
+func refusalOf(ctx context.Context, to teaseltack.Record, err error) *teaseltack.Refusal {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return teaseltack.Refuse(teaseltack.ReasonConnection, "connecting to host %s: %v", to.Host, err)
+	}
+	if ctx.Err() != nil {
+		return teaseltack.Doubt(teaseltack.ReasonLifetime, "host %s did not answer in time", to.Host)
+	}
+	if code := connect.CodeOf(err); code == connect.CodeUnauthenticated || code == connect.CodeInvalidArgument {
+		return teaseltack.Refuse(teaseltack.ReasonBadRequest, "host %s refused the call: %v", to.Host, err)
+	}
+	return teaseltack.Doubt(teaseltack.ReasonConnection, "the call to host %s broke off: %v", to.Host, err)
+}
+
+// IssueTickets asks a home for tickets.
+func (c *Client) IssueTickets(ctx context.Context, to teaseltack.Record, target teaseltack.Target, count int) ([]teaseltack.Ticket, error) {
+	response, err := c.to(to.PeerAddress).IssueTickets(ctx, connect.NewRequest(&peerv1.IssueTicketsRequest{
+		Service: string(target.Service), Method: string(target.Method), Count: uint32(count), ToHost: string(to.Host),
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("asking host %s for tickets: %w", to.Host, err)
+	}
+	if response.Msg.Reason != "" {
+		return nil, teaseltack.Refuse(teaseltack.Reason(response.Msg.Reason), "host %s gives no tickets", to.Host)
+	}
+	tickets := make([]teaseltack.Ticket, len(response.Msg.Tickets))
+	for i, t := range response.Msg.Tickets {
+		tickets[i] = teaseltack.Ticket(t)
+	}
+	return tickets, nil
+}
+
+// Exchange sends a control message.
+func (c *Client) Exchange(ctx context.Context, address string, m teaseltack.Exchange) (teaseltack.Exchange, error) {
+	response, err := c.to(address).Exchange(ctx, connect.NewRequest(&peerv1.ExchangeRequest{
+		FromHost:    string(m.From),
+		ToHost:      string(m.To),
+		FromAddress: m.FromAddress,
+		Digest:      m.Digest,
+		Generation:  uint64(m.Generation),
+		FreshAgeMs:  m.FreshAge.Milliseconds(),
+		Changed:     c.codec.RecordsOut(m.Changed),
+	}))
+	if err != nil {
+		return teaseltack.Exchange{}, fmt.Errorf("exchanging with %s: %w", address, err)
+	}
+	return teaseltack.Exchange{
+		Digest:     response.Msg.Digest,
+		Generation: teaseltack.Generation(response.Msg.Generation),
+		FreshAge:   time.Duration(response.Msg.FreshAgeMs) * time.Millisecond,
+		Buckets:    response.Msg.Buckets,
+		Changed:    c.codec.RecordsIn(response.Msg.Changed),
+	}, nil
+}
+
+// Pull swaps the records of differing buckets.
+func (c *Client) Pull(ctx context.Context, address string, buckets []uint32, records []teaseltack.Record) ([]teaseltack.Record, error) {
+	response, err := c.to(address).Pull(ctx, connect.NewRequest(&peerv1.PullRequest{
+		Buckets: buckets, Records: c.codec.RecordsOut(records),
+	}))
+	if err != nil {
+		return nil, fmt.Errorf("pulling records from %s: %w", address, err)
+	}
+	return c.codec.RecordsIn(response.Msg.Records), nil
+}
+
+// FetchDocument reads the peer's document if it is newer.
+func (c *Client) FetchDocument(ctx context.Context, address string, above teaseltack.Generation) (*operatorv1.Document, error) {
+	response, err := c.to(address).FetchDocument(ctx, connect.NewRequest(&peerv1.FetchDocumentRequest{AboveGeneration: uint64(above)}))
+	if err != nil {
+		return nil, fmt.Errorf("fetching the document from %s: %w", address, err)
+	}
+	return response.Msg.Document, nil
+}
--- /dev/null
+++ b/io/load/load.go
@@ -0,0 +1,187 @@
+// Package load is a caller: it sends requests at a rate, repeats failed ones as
+// hard as told, and reports what came back.
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"teaseltack"
+	"teaseltack/io/header"
+	"teaseltack/io/random"
+)
+
+const (
+	leastLatencyUs = 1
+	mostLatencyUs  = 600_000_000
+	latencyDigits  = 3
+)
+
+// Config sets up a caller.
+type Config struct {
+	// Entries are the outer doors, called in turn.
+	Entries []string
+	Targets []teaseltack.Target
+	// Rate is the number of new requests per second.
+	Rate float64
+	// Duration is the time in which new requests are sent.
+	Duration time.Duration
+	// Lifetime is the time that a request may take, repeats included.
+	Lifetime time.Duration
+	// Repeats is how often the caller repeats a request that got no answer.
+	Repeats int
+	// Keys sends an idempotency key with each request.
+	Keys bool
+	// BodyBytes is the size of each request's body.
+	BodyBytes int
+}
+
+// Report is what came back.
+type Report struct {
+	Sent       int            `json:"sent"`
+	Whole      int            `json:"whole"`
+	Attempts   int            `json:"attempts"`
+	Goodput    float64        `json:"goodput-per-s"`
+	P50Ms      float64        `json:"p50-ms"`
+	P99Ms      float64        `json:"p99-ms"`
+	Refused    map[string]int `json:"refused-by-reason"`
+	NotRun     int            `json:"not-run"`
+	MayHaveRun int            `json:"may-have-run"`
+}
+
+// Caller sends requests.
+type Caller struct {
+	cfg     Config
+	client  *http.Client
+	source  *random.Source
+	mu      sync.Mutex
+	report  Report
+	latency *hdrhistogram.Histogram
+}
+
+// New returns a caller.
+func New(cfg Config) *Caller {
+	const idlePerHost = 1000
+	return &Caller{
+		cfg:     cfg,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost}},
+		source:  random.New(),
+		report:  Report{Refused: map[string]int{}},
+		latency: hdrhistogram.New(leastLatencyUs, mostLatencyUs, latencyDigits),
+	}
+}
+
+// Run sends the requests and waits for the last answers.
+func (c *Caller) Run(ctx context.Context) Report {
+	var group sync.WaitGroup
+	gap := time.Duration(float64(time.Second) / c.cfg.Rate)
+	ticker := time.NewTicker(gap)
+	defer ticker.Stop()
+	end := time.Now().Add(c.cfg.Duration)
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		group.Go(func() { c.Send(ctx, n) })
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	group.Wait()
+	return c.Report()
+}
+
+// Report returns what came back so far.
+func (c *Caller) Report() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	const msPerUs = 1000
+	report := c.report
+	report.Goodput = float64(report.Whole) / c.cfg.Duration.Seconds()
+	report.P50Ms = float64(c.latency.ValueAtQuantile(50)) / msPerUs
+	report.P99Ms = float64(c.latency.ValueAtQuantile(99)) / msPerUs
+	return report
+}
+
+// Reply is the end of one request.
+type Reply struct {
+	Status  int
+	Verdict string
+	Reason  string
+	Body    []byte
+}
+
+// Send sends request number n and repeats it until an answer comes, the time
+// ends or the repeats are used up.
+func (c *Caller) Send(ctx context.Context, n int) Reply {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Lifetime)
+	defer cancel()
+	id := strconv.FormatUint(c.source.Uint64(), 36)
+	target := c.cfg.Targets[n%len(c.cfg.Targets)]
+	started := time.Now()
+	var reply Reply
+	attempts := 0
+	for attempt := range c.cfg.Repeats + 1 {
+		attempts++
+		reply = c.attempt(ctx, c.cfg.Entries[(n+attempt)%len(c.cfg.Entries)], target, id, attempt)
+		if reply.Status == http.StatusOK || ctx.Err() != nil {
+			break
+		}
+	}
+	c.count(reply, attempts, time.Since(started))
+	return reply
+}
+
+func (c *Caller) attempt(ctx context.Context, entry string, target teaseltack.Target, id string, attempt int) Reply {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/"+target.String(), bytes.NewReader(make([]byte, c.cfg.BodyBytes)))
+	if err != nil {
+		return Reply{Reason: "request"}
+	}
+	request.GetBody = nil
+	header.RequestID.Set(request.Header, id)
+	header.Attempt.Set(request.Header, strconv.Itoa(attempt))
+	header.LifetimeMs.Set(request.Header, strconv.FormatInt(max(c.cfg.Lifetime.Milliseconds(), 1), 10))
+	if c.cfg.Keys {
+		header.Key.Set(request.Header, id)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return Reply{Reason: fmt.Sprintf("no-answer (%T)", err)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Reply{Reason: "answer-cut"}
+	}
+	return Reply{
+		Status:  response.StatusCode,
+		Verdict: header.Verdict.Get(response.Header),
+		Reason:  header.Reason.Get(response.Header),
+		Body:    body,
+	}
+}
+
+func (c *Caller) count(reply Reply, attempts int, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.Sent++
+	c.report.Attempts += attempts
+	if reply.Status == http.StatusOK {
+		c.report.Whole++
+		_ = c.latency.RecordValue(took.Microseconds())
+		return
+	}
+	c.report.Refused[reply.Reason]++
+	switch reply.Verdict {
+	case teaseltack.NotRun.String():
+		c.report.NotRun++
+	default:
+		c.report.MayHaveRun++
+	}
+}
--- /dev/null
+++ b/io/metric/metric.go
@@ -0,0 +1,107 @@
+// Package metric counts what a daemon decides, for scrapers.
+package metric
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"teaseltack"
+)
+
+// Gauges are read at each scrape.
+type Gauges struct {
+	Load       func() teaseltack.Load
+	Generation func() float64
+	Behind     func() float64
+	Hosts      func() float64
+	Tickets    func() float64
+	Platform   func() float64
+	Cut        func() float64
+}
+
+// Metrics holds the counters. Labels take their values from the policies in
+// force, so their number is bounded.
+type Metrics struct {
+	registry *prometheus.Registry
+	answered *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	work     *prometheus.HistogramVec
+	platform *prometheus.CounterVec
+}
+
+// New returns metrics that read the gauges at each scrape.
+func New(g Gauges) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		answered: counter("answered_total", "Whole answers given, by service and class.", "service", "class"),
+		refused:  counter("refused_total", "Refusals given, by service, class, reason and verdict.", "service", "class", "reason", "verdict"),
+		retries:  counter("retries_total", "Retries sent, by service.", "service"),
+		platform: counter("platform_calls_total", "Calls to the platform, by kind and result.", "kind", "result"),
+		work: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "work_seconds", Help: "Time at the backend server per whole answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}, []string{"service"}),
+	}
+	m.registry.MustRegister(m.answered, m.refused, m.retries, m.platform, m.work,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registerGauges(g)
+	return m
+}
+
+const namespace = "teaseltack"
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func (m *Metrics) registerGauges(g Gauges) {
+	add := func(name, help string, read func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+	}
+	add("concurrency_limit", "Calls that may run at the backend server at once.", func() float64 { return float64(g.Load().Limit) })
+	add("in_flight", "Calls that run or wait at the backend server.", func() float64 { return float64(g.Load().InFlight) })
+	add("admission_level", "Priority bucket below which calls are shed; 0 sheds none.", func() float64 { return float64(g.Load().Level) })
+	add("generation_in_force", "Generation of the configuration in force.", g.Generation)
+	add("hosts_behind", "Known hosts whose generation in force is older.", g.Behind)
+	add("hosts_known", "Hosts in the membership.", g.Hosts)
+	add("tickets_remembered", "Non-idempotent requests remembered.", g.Tickets)
+	add("platform_reachable", "1 while the platform answers.", g.Platform)
+	add("data_centres_unreachable", "Data centres out of reach.", g.Cut)
+}
+
+// Answered counts an answer or a refusal of the entry.
+func (m *Metrics) Answered(target teaseltack.Target, class teaseltack.Class, answer *teaseltack.Answer) {
+	service := string(target.Service)
+	if answer.Refusal == nil {
+		m.answered.WithLabelValues(service, class.String()).Inc()
+		m.work.WithLabelValues(service).Observe(answer.Work.Seconds())
+		return
+	}
+	if answer.Refusal.Reason == teaseltack.ReasonUnknownTarget {
+		service = "unknown"
+	}
+	m.refused.WithLabelValues(service, class.String(), string(answer.Refusal.Reason), answer.Refusal.Verdict.String()).Inc()
+}
+
+// Retried counts a retry of the entry.
+func (m *Metrics) Retried(target teaseltack.Target) {
+	m.retries.WithLabelValues(string(target.Service)).Inc()
+}
+
+// PlatformCalled counts a call to the platform.
+func (m *Metrics) PlatformCalled(kind string, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	m.platform.WithLabelValues(kind, result).Inc()
+}
+
+// Handler serves the metrics in the Prometheus format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/io/oper/oper.go
@@ -0,0 +1,141 @@
+// Package oper serves the operators' remote procedure calls.
+package oper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+
+	"teaseltack"
+	"teaseltack/core/change"
+	"teaseltack/core/force"
+	"teaseltack/core/member"
+	"teaseltack/core/mesh"
+	"teaseltack/core/policy"
+	"teaseltack/core/route"
+	"teaseltack/core/watch"
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
+)
+
+const (
+	defaultHistory = 50
+	maxHistory     = 10000
+)
+
+// Config sets up a service. Changer and Watcher are nil without a platform.
+type Config struct {
+	Log     hclog.Logger
+	Changer *change.Changer
+	Watcher *watch.Watcher
+	Holder  *force.Holder
+	Members *member.Table
+	Mesh    *mesh.Mesh
+	Router  *route.Router
+}
+
+// Service answers operators.
+type Service struct {
+	cfg Config
+}
+
+var _ operatorv1connect.OperatorServiceHandler = (*Service)(nil)
+
+// New returns a service.
+func New(cfg Config) *Service {
+	return &Service{cfg: cfg}
+}
+
+func (s *Service) apply(ctx context.Context, step policy.Step, expected uint64, dryRun bool) *operatorv1.Outcome {
+	if s.cfg.Changer == nil {
+		return &operatorv1.Outcome{Result: "refused", Detail: "nothing was written: no platform-address is set for this daemon"}
+	}
+	outcome := s.cfg.Changer.Apply(ctx, step, teaseltack.Generation(expected), dryRun)
+	s.cfg.Log.Info("configuration change", "result", outcome.Result, "change-id", step.ChangeID, "who", step.Who,
+		"generation", outcome.Generation, "detail", outcome.Detail, "dry-run", dryRun)
+	return outcome
+}
+
+// ApplyPolicies changes policies.
+func (s *Service) ApplyPolicies(ctx context.Context, request *connect.Request[operatorv1.ApplyPoliciesRequest]) (*connect.Response[operatorv1.ApplyPoliciesResponse], error) {
+	m := request.Msg
+	step := policy.Step{ChangeID: m.ChangeId, Who: m.Who, Set: m.Set, Remove: m.Remove}
+	outcome := s.apply(ctx, step, m.ExpectedGeneration, m.DryRun)
+	return connect.NewResponse(&operatorv1.ApplyPoliciesResponse{Outcome: outcome}), nil
+}
+
+// MarkServer marks a backend server as leaving or takes the mark back.
+func (s *Service) MarkServer(ctx context.Context, request *connect.Request[operatorv1.MarkServerRequest]) (*connect.Response[operatorv1.MarkServerResponse], error) {
+	m := request.Msg
+	if m.Host == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("host is empty, allowed is the name of a host"))
+	}
+	step := policy.Step{ChangeID: m.ChangeId, Who: m.Who, Host: m.Host, Leaving: m.Leaving}
+	return connect.NewResponse(&operatorv1.MarkServerResponse{Outcome: s.apply(ctx, step, 0, false)}), nil
+}
+
+// GetDocument reads the configuration in force here.
+func (s *Service) GetDocument(context.Context, *connect.Request[operatorv1.GetDocumentRequest]) (*connect.Response[operatorv1.GetDocumentResponse], error) {
+	return connect.NewResponse(&operatorv1.GetDocumentResponse{Document: s.cfg.Holder.Document()}), nil
+}
+
+// GetHistory reads the audit trail, newest first.
+func (s *Service) GetHistory(ctx context.Context, request *connect.Request[operatorv1.GetHistoryRequest]) (*connect.Response[operatorv1.GetHistoryResponse], error) {
+	limit := int(request.Msg.Limit)
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	if limit > maxHistory {
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("limit is %d, allowed is 1 to %d", limit, maxHistory))
+	}
+	document := s.cfg.Holder.Document()
+	if s.cfg.Changer == nil {
+		return connect.NewResponse(&operatorv1.GetHistoryResponse{Changes: document.Recent}), nil
+	}
+	changes, complete := s.cfg.Changer.History(ctx, document, limit)
+	return connect.NewResponse(&operatorv1.GetHistoryResponse{Changes: changes, Complete: complete}), nil
+}
+
+// GetStatus reads what this daemon knows.
+func (s *Service) GetStatus(context.Context, *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+	generation, _ := s.cfg.Holder.Generation()
+	status := &operatorv1.GetStatusResponse{
+		Host:              string(s.cfg.Members.Own().Host),
+		Generation:        uint64(generation),
+		PlatformReachable: s.cfg.Watcher != nil && s.cfg.Watcher.Reachable(),
+	}
+	for _, name := range s.cfg.Mesh.CutOff() {
+		status.DataCentresUnreachable = append(status.DataCentresUnreachable, string(name))
+	}
+	for _, r := range s.cfg.Members.Records() {
+		status.Hosts = append(status.Hosts, s.hostStatus(r))
+		if r.State >= teaseltack.Dead {
+			continue
+		}
+		status.HostsKnown++
+		if r.Generation < generation {
+			status.HostsBehind++
+		}
+	}
+	return connect.NewResponse(status), nil
+}
+
+func (s *Service) hostStatus(r teaseltack.Record) *operatorv1.HostStatus {
+	serving := r.Serving
+	if s.cfg.Holder.Leaving(r.Host) {
+		serving = teaseltack.Leaving
+	}
+	return &operatorv1.HostStatus{
+		Host:       string(r.Host),
+		DataCentre: string(r.DataCentre),
+		Service:    string(r.Service),
+		State:      r.State.String(),
+		Serving:    serving.String(),
+		Generation: uint64(r.Generation),
+		Slots:      uint32(r.Slots),
+		Ejected:    s.cfg.Router.Ejected(r.Host),
+	}
+}
--- /dev/null
+++ b/io/sample/sample.go
@@ -0,0 +1,331 @@
+// Package sample is a stand-in backend server for demos, tests and
+// measurements: slots, connections, service times, a cold start, failures,
+// draining, nested calls and health and load endpoints that mislead.
+package sample
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"teaseltack"
+	"teaseltack/io/front"
+	"teaseltack/io/header"
+	"teaseltack/io/outer"
+	"teaseltack/io/random"
+)
+
+const (
+	// coldFactor is how much longer a call takes right after the start.
+	coldFactor = 5
+	// announceTime bounds one announcement.
+	announceTime = time.Second
+	maxBody      = 64 << 20
+)
+
+// Config sets up a backend server.
+type Config struct {
+	Timers  teaseltack.Timers
+	Log     hclog.Logger
+	Service teaseltack.Service
+	// Address is the IP:port to listen on; port 0 takes a free one.
+	Address string
+	// Inner is the inner door of the daemon on this host.
+	Inner       string
+	Slots       int
+	Connections int
+	// Work is the mean service time; times spread evenly around it by Spread, a
+	// share from 0 to 1.
+	Work   time.Duration
+	Spread float64
+	// Cold is the time after the start in which calls take longer.
+	Cold time.Duration
+	// FailShare is the share of calls answered 500 at once.
+	FailShare float64
+	// Nested are the targets called one after the other by each call.
+	Nested []teaseltack.Target
+	// Announce is the period of the announcements.
+	Announce time.Duration
+	// Ran is told of each run; it may be nil.
+	Ran func(Run)
+}
+
+// Run is one run of a call.
+type Run struct {
+	ID     teaseltack.RequestID
+	Key    string
+	Method teaseltack.Method
+	Whole  bool
+}
+
+// Backend is a running stand-in server.
+type Backend struct {
+	cfg      Config
+	source   *random.Source
+	server   *front.Server
+	instance string
+	started  time.Time
+	slots    chan struct{}
+	client   *http.Client
+	leaving  atomic.Bool
+	slowdown atomic.Int64
+	failing  atomic.Bool
+	mu       sync.Mutex
+	inFlight int
+	stop     func()
+}
+
+// New opens the server's address.
+func New(cfg Config) (*Backend, error) {
+	source := random.New()
+	b := &Backend{
+		cfg:      cfg,
+		source:   source,
+		instance: strconv.FormatUint(source.Uint64(), 16),
+		started:  cfg.Timers.Now(),
+		slots:    make(chan struct{}, cfg.Slots),
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Connections}},
+	}
+	b.slowdown.Store(1)
+	server, err := front.Listen(front.Config{Name: "backend server", Address: cfg.Address})
+	if err != nil {
+		return nil, err
+	}
+	b.server = server
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", b.health)
+	mux.HandleFunc("/load", b.load)
+	mux.HandleFunc("/", b.serve)
+	server.Handle(mux)
+	return b, nil
+}
+
+// Address returns the address that the server listens on.
+func (b *Backend) Address() string {
+	return b.server.Address()
+}
+
+// SetSlowdown multiplies the service times.
+func (b *Backend) SetSlowdown(factor int) {
+	b.slowdown.Store(int64(factor))
+}
+
+// SetFailing makes every call fail at once.
+func (b *Backend) SetFailing(failing bool) {
+	b.failing.Store(failing)
+}
+
+// Run announces the server and answers until the context ends, then drains it.
+func (b *Backend) Run(ctx context.Context) error {
+	failed := make(chan error, 1)
+	go func() { failed <- b.server.Serve() }()
+	b.announce()
+	b.stop = b.cfg.Timers.Every(b.cfg.Announce, b.announce)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return b.drain()
+}
+
+// drain announces the leaving and goes once the calls in progress have ended.
+func (b *Backend) drain() error {
+	const (
+		newsTime  = 500 * time.Millisecond
+		drainTime = 30 * time.Second
+	)
+	b.Leave()
+	time.Sleep(newsTime)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	defer b.stop()
+	return b.server.Shutdown(ctx)
+}
+
+// Leave announces that the server takes no new work.
+func (b *Backend) Leave() {
+	b.leaving.Store(true)
+	b.announce()
+}
+
+func (b *Backend) announce() {
+	if b.cfg.Inner == "" {
+		return
+	}
+	body, err := json.Marshal(outer.Announcement{
+		Service: string(b.cfg.Service), Address: b.Address(), Instance: b.instance,
+		Slots: b.cfg.Slots, Connections: b.cfg.Connections, Leaving: b.leaving.Load(),
+	})
+	if err != nil {
+		b.cfg.Log.Error("encoding the announcement", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTime)
+	defer cancel()
+	if err := b.postAnnouncement(ctx, body); err != nil {
+		b.cfg.Log.Warn("announcing", "error", err)
+	}
+}
+
+func (b *Backend) postAnnouncement(ctx context.Context, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.cfg.Inner+"/teaseltack/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("building the announcement: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := b.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("reaching the daemon: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	text, _ := io.ReadAll(response.Body)
+	return fmt.Errorf("the daemon answered %d: %s", response.StatusCode, text)
+}
+
+// health misleads: it is good whatever the state.
+func (b *Backend) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("healthy\n"))
+}
+
+// load misleads: it tells half of the calls in progress.
+func (b *Backend) load(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, _ = fmt.Fprintf(w, "%d\n", b.inFlight/2)
+}
+
+func (b *Backend) count(change int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight += change
+	return b.inFlight
+}
+
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		http.Error(w, "the body broke off", http.StatusBadRequest)
+		return
+	}
+	defer b.count(-1)
+	if b.count(1) > b.cfg.Connections {
+		http.Error(w, "too many connections", http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := deadline(r)
+	defer cancel()
+	select {
+	case b.slots <- struct{}{}:
+		defer func() { <-b.slots }()
+	case <-ctx.Done():
+		http.Error(w, "no slot in time", http.StatusServiceUnavailable)
+		return
+	}
+	b.work(ctx, w, r, len(body))
+}
+
+// deadline applies the lifetime that the daemon hands over.
+func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	lifetime, err := strconv.ParseInt(header.LifetimeMs.Get(r.Header), 10, 64)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(lifetime)*time.Millisecond)
+}
+
+func (b *Backend) work(ctx context.Context, w http.ResponseWriter, r *http.Request, bodyBytes int) {
+	run := Run{
+		ID:     teaseltack.RequestID(header.RequestID.Get(r.Header)),
+		Key:    header.Key.Get(r.Header),
+		Method: teaseltack.Method(r.URL.Path[1:]),
+	}
+	err := b.perform(ctx, r)
+	run.Whole = err == nil
+	if b.cfg.Ran != nil {
+		b.cfg.Ran(run)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	text := fmt.Sprintf("%s %s done for %s, %d bytes read\n", b.cfg.Service, run.Method, run.ID, bodyBytes)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text)
+}
+
+func (b *Backend) perform(ctx context.Context, r *http.Request) error {
+	if b.failing.Load() || b.draw() < b.cfg.FailShare {
+		return errors.New("failed at once")
+	}
+	if err := b.hold(ctx, b.serviceTime()); err != nil {
+		return err
+	}
+	for _, target := range b.cfg.Nested {
+		if err := b.callNested(ctx, target, header.Context.Get(r.Header)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *Backend) hold(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("given up: %w", ctx.Err())
+	}
+}
+
+func (b *Backend) draw() float64 {
+	const mantissa = 53
+	return float64(b.source.Uint64()>>(64-mantissa)) / (1 << mantissa)
+}
+
+func (b *Backend) serviceTime() time.Duration {
+	length := float64(b.cfg.Work) * (1 + b.cfg.Spread*(2*b.draw()-1))
+	length *= float64(b.slowdown.Load())
+	if b.cfg.Timers.Now().Sub(b.started) < b.cfg.Cold {
+		length *= coldFactor
+	}
+	return time.Duration(length)
+}
+
+// callNested calls down the chain through the own daemon, with the context that
+// the daemon gave.
+func (b *Backend) callNested(ctx context.Context, target teaseltack.Target, contextToken string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.cfg.Inner+"/"+target.String(), http.NoBody)
+	if err != nil {
+		return fmt.Errorf("building the nested call: %w", err)
+	}
+	header.Context.Set(request.Header, contextToken)
+	response, err := b.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("calling %s: %w", target, err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("reading the answer of %s: %w", target, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d: %s", target, response.StatusCode, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/stand/stand.go
@@ -0,0 +1,201 @@
+// Package stand is a stand-in for the platform's key-value service, for demos
+// and tests. It can be told to fail, to be slow and to lose answers after a
+// write took effect.
+package stand
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"teaseltack"
+	platformv1 "teaseltack/gen/teaseltack/platform/v1"
+	"teaseltack/gen/teaseltack/platform/v1/platformv1connect"
+)
+
+const (
+	maxValueBytes = 1 << 20
+	maxWatch      = 30 * time.Second
+)
+
+// Config sets up a stand-in.
+type Config struct {
+	Timers teaseltack.Timers
+}
+
+// trouble is what the stand-in does wrong.
+type trouble struct {
+	down        bool
+	delay       time.Duration
+	loseAnswers int
+}
+
+type value struct {
+	data     []byte
+	revision uint64
+	expires  time.Time
+}
+
+// Stand holds the keys in memory. It is safe for concurrent use.
+type Stand struct {
+	timers  teaseltack.Timers
+	mu      sync.Mutex
+	values  map[string]value
+	trouble trouble
+	last    uint64
+	changed chan struct{}
+	calls   map[string]int
+}
+
+var _ platformv1connect.KeyValueServiceHandler = (*Stand)(nil)
+
+// New returns an empty store.
+func New(cfg Config) *Stand {
+	return &Stand{timers: cfg.Timers, values: map[string]value{}, changed: make(chan struct{}), calls: map[string]int{}}
+}
+
+// SetDown starts or ends an outage.
+func (s *Stand) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble.down = down
+	s.wake()
+}
+
+// SetDelay slows every answer down.
+func (s *Stand) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble.delay = delay
+}
+
+// LoseAnswers loses the answers of the next writes after they took effect.
+func (s *Stand) LoseAnswers(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trouble.loseAnswers = count
+}
+
+// Calls returns the number of calls so far by kind.
+func (s *Stand) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int, len(s.calls))
+	for kind, n := range s.calls {
+		counts[kind] = n
+	}
+	return counts
+}
+
+func (s *Stand) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var errDown = errors.New("the stand-in platform is in a scripted outage")
+
+// enter counts a call and applies the scripted trouble.
+func (s *Stand) enter(ctx context.Context, kind string) error {
+	s.mu.Lock()
+	s.calls[kind]++
+	t := s.trouble
+	s.mu.Unlock()
+	if t.down {
+		return connect.NewError(connect.CodeUnavailable, errDown)
+	}
+	if t.delay == 0 {
+		return nil
+	}
+	done := make(chan struct{})
+	stop := s.timers.After(t.delay, func() { close(done) })
+	defer stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Stand) read(key string) value {
+	v, ok := s.values[key]
+	if ok && !v.expires.IsZero() && !s.timers.Now().Before(v.expires) {
+		delete(s.values, key)
+		return value{}
+	}
+	return v
+}
+
+// Get reads one key.
+func (s *Stand) Get(ctx context.Context, request *connect.Request[platformv1.GetRequest]) (*connect.Response[platformv1.GetResponse], error) {
+	if err := s.enter(ctx, "get"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.read(request.Msg.Key)
+	return connect.NewResponse(&platformv1.GetResponse{Found: v.revision > 0, Value: v.data, Revision: v.revision}), nil
+}
+
+// Swap writes a key when its revision is the expected one.
+func (s *Stand) Swap(ctx context.Context, request *connect.Request[platformv1.SwapRequest]) (*connect.Response[platformv1.SwapResponse], error) {
+	m := request.Msg
+	if len(m.Value) > maxValueBytes {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("value is larger than 1 MB"))
+	}
+	if err := s.enter(ctx, "swap"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.read(m.Key)
+	if current.revision != m.ExpectedRevision {
+		return connect.NewResponse(&platformv1.SwapResponse{Revision: current.revision, Value: current.data}), nil
+	}
+	s.last++
+	next := value{data: bytes.Clone(m.Value), revision: s.last}
+	if m.LeaseMs > 0 {
+		next.expires = s.timers.Now().Add(time.Duration(m.LeaseMs) * time.Millisecond)
+	}
+	s.values[m.Key] = next
+	s.wake()
+	if s.trouble.loseAnswers > 0 {
+		s.trouble.loseAnswers--
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("the answer was lost after the write took effect"))
+	}
+	return connect.NewResponse(&platformv1.SwapResponse{Swapped: true, Revision: next.revision, Value: next.data}), nil
+}
+
+// Watch waits until the key's revision differs from the known one.
+func (s *Stand) Watch(ctx context.Context, request *connect.Request[platformv1.WatchRequest]) (*connect.Response[platformv1.WatchResponse], error) {
+	if err := s.enter(ctx, "watch"); err != nil {
+		return nil, err
+	}
+	m := request.Msg
+	expired := make(chan struct{})
+	wait := min(time.Duration(m.WaitMs)*time.Millisecond, maxWatch)
+	stop := s.timers.After(wait, func() { close(expired) })
+	defer stop()
+	for {
+		s.mu.Lock()
+		v, changed, down := s.read(m.Key), s.changed, s.trouble.down
+		s.mu.Unlock()
+		if down {
+			return nil, connect.NewError(connect.CodeUnavailable, errDown)
+		}
+		if v.revision != m.KnownRevision {
+			return connect.NewResponse(&platformv1.WatchResponse{Changed: true, Value: v.data, Revision: v.revision}), nil
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return connect.NewResponse(&platformv1.WatchResponse{Revision: m.KnownRevision}), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,93 @@
+// Package store is the client of the platform's key-value service.
+package store
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"teaseltack"
+	platformv1 "teaseltack/gen/teaseltack/platform/v1"
+	"teaseltack/gen/teaseltack/platform/v1/platformv1connect"
+)
+
+const (
+	pingAfter = time.Second
+	pingTime  = time.Second
+)
+
+// Config sets up a client.
+type Config struct {
+	// Address is the platform's IP:port.
+	Address string
+	// Observe counts each call by its kind; it may be nil.
+	Observe func(kind string, err error)
+}
+
+// Store calls the platform over one connection that is checked by pings.
+type Store struct {
+	client  platformv1connect.KeyValueServiceClient
+	observe func(string, error)
+}
+
+var _ teaseltack.KeyValue = (*Store)(nil)
+
+// New returns a client.
+func New(cfg Config) *Store {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols: protocols,
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTime},
+	}
+	observe := cfg.Observe
+	if observe == nil {
+		observe = func(string, error) {}
+	}
+	return &Store{
+		client:  platformv1connect.NewKeyValueServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address),
+		observe: observe,
+	}
+}
+
+// Get reads one key.
+func (s *Store) Get(ctx context.Context, key string) (teaseltack.Entry, error) {
+	response, err := s.client.Get(ctx, connect.NewRequest(&platformv1.GetRequest{Key: key}))
+	s.observe("get", err)
+	if err != nil {
+		return teaseltack.Entry{}, fmt.Errorf("platform get: %w", err)
+	}
+	return teaseltack.Entry{Value: response.Msg.Value, Revision: response.Msg.Revision}, nil
+}
+
+// Swap writes a key if its revision is the expected one. Its entry is the one
+// that stands afterwards.
+func (s *Store) Swap(ctx context.Context, key string, value []byte, expected uint64, lease time.Duration) (teaseltack.Entry, error) {
+	response, err := s.client.Swap(ctx, connect.NewRequest(&platformv1.SwapRequest{
+		Key: key, Value: value, ExpectedRevision: expected, LeaseMs: lease.Milliseconds(),
+	}))
+	s.observe("swap", err)
+	if err != nil {
+		return teaseltack.Entry{}, fmt.Errorf("platform swap: %w", err)
+	}
+	return teaseltack.Entry{Value: response.Msg.Value, Revision: response.Msg.Revision, Swapped: response.Msg.Swapped}, nil
+}
+
+// Watch waits until the key's revision differs from the known one, at most for
+// wait. An entry without a value says that nothing changed.
+func (s *Store) Watch(ctx context.Context, key string, known uint64, wait time.Duration) (teaseltack.Entry, error) {
+	response, err := s.client.Watch(ctx, connect.NewRequest(&platformv1.WatchRequest{
+		Key: key, KnownRevision: known, WaitMs: wait.Milliseconds(),
+	}))
+	s.observe("watch", err)
+	if err != nil {
+		return teaseltack.Entry{}, fmt.Errorf("platform watch: %w", err)
+	}
+	if !response.Msg.Changed {
+		return teaseltack.Entry{Revision: known}, nil
+	}
+	return teaseltack.Entry{Value: response.Msg.Value, Revision: response.Msg.Revision}, nil
+}
--- a/ports.go
+++ b/ports.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
 )
 
 // Timers is the timer service. Parts subscribe to it and read no other clock.
@@ -42,8 +44,9 @@
 	Withdraw(w *Waiter) bool
 	// Release ends an admitted call.
 	Release(w *Waiter, outcome Outcome)
-	// Resize sets the slots and connections that the server announced.
-	Resize(slots, connections int)
+	// Resize sets the slots and connections that the server announced; cold says
+	// that the server has just started.
+	Resize(slots, connections int, cold bool)
 	// Load reports the gate's state.
 	Load() Load
 }
@@ -82,6 +85,14 @@
 	Policy(target Target) (Policy, bool)
 }
 
+// Overlay carries control messages to another daemon. Addresses are IP:port.
+type Overlay interface {
+	Exchange(ctx context.Context, address string, m Exchange) (Exchange, error)
+	Pull(ctx context.Context, address string, buckets []uint32, records []Record) ([]Record, error)
+	// FetchDocument returns the peer's document, or nil unless it is newer.
+	FetchDocument(ctx context.Context, address string, above Generation) (*operatorv1.Document, error)
+}
+
 // KeyValue is the platform's service. An error of Swap leaves open whether the
 // write took effect.
 type KeyValue interface {
