--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -69,6 +69,14 @@
 	return &Entry{cfg: cfg, budgets: map[teaseltack.Target]*ratio.Budget{}}
 }
 
+// Learn replaces what the entry knows of the homes of each service.
+func (e *Entry) Learn(records []teaseltack.Record, homes map[teaseltack.Service][]teaseltack.HostID) {
+	e.cfg.Router.Update(records)
+	for service, hosts := range homes {
+		e.cfg.Pressure.SetHomes(service, hosts)
+	}
+}
+
 // journey is one request on its way through this entry.
 type journey struct {
 	call   teaseltack.Call
@@ -367,13 +375,7 @@
 }
 
 func (e *Entry) payRetry(j *journey, refusal *teaseltack.Refusal) bool {
-	if e.cfg.Greedy {
-		return len(j.tried) < int(j.policy.Retries)
-	}
-	if e.wholeServiceSheds(j, refusal) {
-		return false
-	}
-	if j.purse.Left() == 0 || !j.budget.Spend() || !j.purse.Spend() {
+	if !e.canPay(j, refusal) {
 		return false
 	}
 	if e.cfg.Observe != nil {
@@ -382,6 +384,18 @@
 	return true
 }
 
+// canPay takes the price of a retry from the request's purse and from the
+// target's budget.
+func (e *Entry) canPay(j *journey, refusal *teaseltack.Refusal) bool {
+	if e.cfg.Greedy {
+		return len(j.tried) < int(j.policy.Retries)
+	}
+	if e.wholeServiceSheds(j, refusal) {
+		return false
+	}
+	return j.purse.Left() > 0 && j.budget.Spend() && j.purse.Spend()
+}
+
 // wholeServiceSheds reports that another home would shed the call as well.
 func (e *Entry) wholeServiceSheds(j *journey, refusal *teaseltack.Refusal) bool {
 	if refusal.Reason != teaseltack.ReasonOverload && refusal.Reason != teaseltack.ReasonEvicted {
--- /dev/null
+++ b/io/bench/rig.go
@@ -0,0 +1,263 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"teaseltack"
+	"teaseltack/core/admit"
+	"teaseltack/core/entry"
+	"teaseltack/core/fifo"
+	"teaseltack/core/home"
+	"teaseltack/core/press"
+	"teaseltack/core/route"
+	"teaseltack/core/scope"
+	"teaseltack/core/ticket"
+	"teaseltack/io/clock"
+	"teaseltack/io/random"
+)
+
+// The policies that are compared.
+const (
+	policyDirect  = "direct"
+	policyThin    = "thin"
+	policyCurrent = "current"
+)
+
+// node is one backend server host: the daemon's decisions and its server.
+type node struct {
+	station *station
+	gate    teaseltack.Gate
+	home    *home.Home
+	entry   *entry.Entry
+	tickets *ticket.Table
+	closers []func()
+}
+
+// rig is one site under one policy. Calls between hosts are function calls with
+// the network's delay.
+type rig struct {
+	site   site
+	policy string
+	ledger *ledger
+	nodes  []*node
+	byHost map[teaseltack.HostID]*node
+	source *random.Source
+}
+
+func newRig(s site, policy string, seed byte) *rig {
+	r := &rig{site: s, policy: policy, ledger: newLedger(), byHost: map[teaseltack.HostID]*node{}, source: random.Seeded(seed)}
+	for _, size := range s.services {
+		for i := range size.endpoints {
+			r.addNode(size, i)
+		}
+	}
+	r.tellHomes()
+	return r
+}
+
+func (r *rig) addNode(size serviceSize, i int) {
+	record := teaseltack.Record{
+		Host:       teaseltack.HostID(fmt.Sprintf("%s-%d", size.name, i)),
+		DataCentre: r.site.dataCentres[i%len(r.site.dataCentres)],
+		Service:    size.name, Slots: size.slots / slotScale, Connections: size.connections / slotScale,
+		Serving: teaseltack.Ready,
+	}
+	n := &node{station: newStation(record, size, speeds[i%len(speeds)], r.source, r.ledger)}
+	n.station.below = func(ctx context.Context, call *teaseltack.Call, token string) int {
+		return r.callBelow(ctx, n, call, token)
+	}
+	r.nodes = append(r.nodes, n)
+	r.byHost[record.Host] = n
+	if r.policy != policyDirect {
+		r.addDaemon(n, record)
+	}
+}
+
+// addDaemon gives a node the decisions of its daemon.
+func (r *rig) addDaemon(n *node, record teaseltack.Record) {
+	timers := clock.Clock{}
+	pressure := press.New(press.Config{Timers: timers})
+	scopes := scope.New(scope.Config{Source: r.source})
+	n.gate = r.newGate(n, record)
+	n.tickets = ticket.New(ticket.Config{Timers: timers, Source: r.source, Host: record.Host, Incarnation: 1, Lifetime: time.Minute, MaxEntries: 1 << 20, MaxKeptBytes: 1 << 20})
+	n.home = home.New(home.Config{Timers: timers, Host: record.Host, Gate: n.gate, Server: n.station, Tickets: n.tickets, Scopes: scopes, Pressure: pressure})
+	n.home.SetServing(record.Service, teaseltack.Ready)
+	n.entry = entry.New(entry.Config{
+		Timers: timers, Source: r.source, Host: record.Host, Policies: r, Pressure: pressure, Scopes: scopes, Homes: network{r, record.DataCentre},
+		Router:  route.New(route.Config{Timers: timers, Source: r.source, DataCentre: record.DataCentre, Uniform: r.policy == policyThin}),
+		Observe: r.ledger, Greedy: r.policy == policyThin,
+	})
+	n.closers = append(n.closers, n.tickets.Close)
+}
+
+func (r *rig) newGate(n *node, record teaseltack.Record) teaseltack.Gate {
+	timers := clock.Clock{}
+	if r.policy == policyThin {
+		return fifo.New(fifo.Config{Timers: timers, Limit: record.Slots, QueueLength: record.Connections - record.Slots})
+	}
+	gate := admit.New(admit.Config{Timers: timers, Slots: record.Slots, Connections: record.Connections, MaxWait: r.site.maxWait})
+	n.closers = append(n.closers, gate.Close)
+	return gate
+}
+
+// tellHomes gives every daemon the same membership.
+func (r *rig) tellHomes() {
+	records := r.records()
+	homes := map[teaseltack.Service][]teaseltack.HostID{}
+	for _, record := range records {
+		homes[record.Service] = append(homes[record.Service], record.Host)
+	}
+	for _, n := range r.nodes {
+		if n.entry == nil {
+			continue
+		}
+		n.entry.Learn(records, homes)
+	}
+}
+
+func (r *rig) records() []teaseltack.Record {
+	var records []teaseltack.Record
+	for _, n := range r.nodes {
+		records = append(records, n.station.record)
+	}
+	return records
+}
+
+// Policy implements teaseltack.Policies: the kinds' policies, and for the
+// methods below a call the idempotent default.
+func (r *rig) Policy(t teaseltack.Target) (teaseltack.Policy, bool) {
+	policy := teaseltack.Policy{Target: t, Class: teaseltack.ClassNormal, Lifetime: r.site.lifetime, Retries: r.site.retries}
+	for _, k := range r.site.kinds {
+		if k.target == t {
+			policy.Class = k.class
+			policy.NonIdempotent = k.nonIdempotent
+		}
+	}
+	return policy, true
+}
+
+// next returns the target below a call's, or false at the end of its path. The
+// method of a nested call names the kind, so that its path is known.
+func (r *rig) next(t teaseltack.Target) (teaseltack.Target, bool) {
+	for _, k := range r.site.kinds {
+		if k.target.Method != t.Method && "of-"+k.target.Method != t.Method {
+			continue
+		}
+		for i, service := range k.path[:len(k.path)-1] {
+			if service == t.Service {
+				return teaseltack.Target{Service: k.path[i+1], Method: "of-" + k.target.Method}, true
+			}
+		}
+	}
+	return teaseltack.Target{}, false
+}
+
+func (r *rig) callBelow(ctx context.Context, n *node, call *teaseltack.Call, token string) int {
+	target, ok := r.next(call.Target)
+	if !ok {
+		return http.StatusOK
+	}
+	if r.policy == policyDirect {
+		return r.callDirect(ctx, call.ID, target, call.Deadline, hopRetries)
+	}
+	answer := n.entry.Serve(ctx, &teaseltack.Arrival{ID: call.ID, Target: target, Retries: -1, Parent: token, Nested: true})
+	if answer.Refusal != nil {
+		return http.StatusBadGateway
+	}
+	return answer.Status
+}
+
+// hopRetries is what each hop repeats without a daemon.
+const hopRetries = 2
+
+// callDirect sends a call to random servers until one answers.
+func (r *rig) callDirect(ctx context.Context, id teaseltack.RequestID, t teaseltack.Target, deadline time.Time, retries int) int {
+	policy, _ := r.Policy(t)
+	status := http.StatusBadGateway
+	for attempt := range retries + 1 {
+		if attempt > 0 {
+			r.ledger.Retried(t)
+		}
+		n := r.random(t.Service)
+		if !pause(ctx, r.site.between) {
+			return http.StatusGatewayTimeout
+		}
+		call := &teaseltack.Call{ID: id, Target: t, NonIdempotent: policy.NonIdempotent, Deadline: deadline}
+		answer, err := n.station.Dispatch(ctx, call, "")
+		if err == nil {
+			status = answer.Status
+		}
+		if status == http.StatusOK || ctx.Err() != nil {
+			return status
+		}
+	}
+	return status
+}
+
+func (r *rig) random(service teaseltack.Service) *node {
+	var nodes []*node
+	for _, n := range r.nodes {
+		if n.station.record.Service == service {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes[r.source.Uint64()%uint64(len(nodes))]
+}
+
+func (r *rig) stations(service teaseltack.Service) []*station {
+	var stations []*station
+	for _, n := range r.nodes {
+		if n.station.record.Service == service {
+			stations = append(stations, n.station)
+		}
+	}
+	return stations
+}
+
+func (r *rig) close() {
+	for _, n := range r.nodes {
+		for _, closer := range n.closers {
+			closer()
+		}
+	}
+}
+
+// network carries calls between hosts with the delay of the way.
+type network struct {
+	rig  *rig
+	from teaseltack.DataCentre
+}
+
+var _ teaseltack.Homes = network{}
+
+func (w network) delay(to teaseltack.Record) time.Duration {
+	const local = 100 * time.Microsecond
+	if to.DataCentre == w.from {
+		return local
+	}
+	return w.rig.site.between
+}
+
+// Forward hands a call to another host of the rig.
+func (w network) Forward(ctx context.Context, to teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
+	if !pause(ctx, w.delay(to)) {
+		return nil, teaseltack.Doubt(teaseltack.ReasonLifetime, "given up")
+	}
+	answer := w.rig.byHost[to.Host].home.Serve(ctx, call)
+	if !pause(ctx, w.delay(to)) {
+		return nil, teaseltack.Doubt(teaseltack.ReasonLifetime, "given up")
+	}
+	return answer, nil
+}
+
+// IssueTickets asks another host of the rig for tickets.
+func (w network) IssueTickets(_ context.Context, to teaseltack.Record, target teaseltack.Target, count int) ([]teaseltack.Ticket, error) {
+	tickets, refusal := w.rig.byHost[to.Host].home.IssueTickets(target, count)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return tickets, nil
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -301,10 +301,7 @@
 		usable = append(usable, r)
 		homes[r.Service] = append(homes[r.Service], r.Host)
 	}
-	d.router.Update(usable)
-	for service, hosts := range homes {
-		d.press.SetHomes(service, hosts)
-	}
+	d.entry.Learn(usable, homes)
 	if d.claims != nil {
 		d.claims.SetDaemons(alive)
 	}
