Route by expected time across data centres; smooth the admission level

Cause: with small slots the own data centre's home is often the full one while another stands idle (dispatch: 133 to 333 calls/s per endpoint, 205/s offered to each), so nested calls queued up to 100 ms and held the slots above them; the level, computed from 50 ms counts, swung between 0 and 63. Ruled out: too small limits (all slots of the first service were in use).

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -330,13 +330,13 @@
 	if ctx.Err() == context.Canceled {
 		result = route.Abandoned
 	}
-	e.cfg.Router.Done(record, result, nil, 0)
+	e.cfg.Router.Done(record, result, nil, 0, 0)
 	return &teaseltack.Answer{ID: call.ID, Nonce: call.Nonce, Refusal: refusal}
 }
 
 func (e *Entry) learn(ctx context.Context, record teaseltack.Record, call *teaseltack.Call, answer *teaseltack.Answer, took time.Duration) {
 	e.cfg.Pressure.Observe(call.Target, record.Host, answer.Load)
-	e.cfg.Router.Done(record, resultOf(ctx, answer), &answer.Load, took)
+	e.cfg.Router.Done(record, resultOf(ctx, answer), &answer.Load, took, answer.Work)
 }
 
 func resultOf(ctx context.Context, answer *teaseltack.Answer) route.Result {
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -119,10 +119,10 @@
 		}
 		tickets, err := e.issueAt(ctx, record, target, count)
 		if err == nil && len(tickets) > 0 {
-			e.cfg.Router.Done(record, route.Abandoned, nil, 0)
+			e.cfg.Router.Done(record, route.Abandoned, nil, 0, 0)
 			return tickets, nil
 		}
-		e.cfg.Router.Done(record, route.Failed, nil, 0)
+		e.cfg.Router.Done(record, route.Failed, nil, 0, 0)
 		tried = append(tried, record.Host)
 		if err != nil {
 			last = teaseltack.Refuse(teaseltack.ReasonNoServer, "asking host %s for a ticket: %v", record.Host, err)
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -326,6 +326,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return teaseltack.OutcomeCancelled
+	case err != nil && teaseltack.AsRefusal(err).Verdict == teaseltack.NotRun:
+		return teaseltack.OutcomeErrored
 	case err != nil:
 		return teaseltack.OutcomeFailed
 	case answer.Status >= firstServerError:
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -15,10 +15,12 @@
 const (
 	// window is the time between two adjustments.
 	window = 50 * time.Millisecond
-	// headroom is the share of the completed calls offered above a new level.
-	headroom = 1.1
+	// headroom is the multiple of the completed calls offered above a new level.
+	headroom = 1.05
+	// memory is the part of the counts that one window passes on to the next.
+	memory = 0.8
 	// maxStep bounds how many buckets one window may lower the level.
-	maxStep = teaseltack.RankBuckets
+	maxStep = 8
 )
 
 // Advice keeps the admission level. It is not safe for concurrent use; its gate
@@ -27,8 +29,8 @@
 	target    time.Duration
 	level     teaseltack.Level
 	windowEnd time.Time
-	offered   [teaseltack.LevelCount]int
-	completed int
+	offered   [teaseltack.LevelCount]float64
+	completed float64
 	refused   int
 	waits     time.Duration
 	waiters   int
@@ -78,8 +80,11 @@
 		a.lower()
 	}
 	a.windowEnd = now.Add(window)
-	a.offered = [teaseltack.LevelCount]int{}
-	a.completed, a.refused, a.waits, a.waiters = 0, 0, 0, 0
+	for i := range a.offered {
+		a.offered[i] *= memory
+	}
+	a.completed *= memory
+	a.refused, a.waits, a.waiters = 0, 0, 0
 }
 
 func (a *Advice) overloaded() bool {
@@ -92,8 +97,8 @@
 // raise sets the lowest level whose offered calls fit the completed ones.
 func (a *Advice) raise() {
 	a.step = 1
-	capacity := int(float64(a.completed)*headroom) + 1
-	above := 0
+	capacity := a.completed*headroom + 1
+	above := 0.0
 	for b := teaseltack.LevelCount - 1; b >= int(a.level); b-- {
 		above += a.offered[b]
 		if above > capacity {
--- a/core/press/press.go
+++ b/core/press/press.go
@@ -4,6 +4,7 @@
 package press
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +93,7 @@
 	t.below[target] = report{level, now}
 }
 
-// Level returns the admission level of a target: the least of its homes' own
+// Level returns the admission level of a target: the median of its homes' own
 // levels, or the level met below it where that is higher.
 func (t *Table) Level(target teaseltack.Target) teaseltack.Level {
 	t.mu.Lock()
@@ -104,7 +105,7 @@
 		return below
 	}
 	if now.Sub(s.summedAt) >= summaryAge {
-		s.summary = s.least(now)
+		s.summary = s.median(now)
 		s.summedAt = now
 	}
 	return max(s.summary, below)
@@ -121,15 +122,19 @@
 	return decayed(s.homes[home], t.timers.Now())
 }
 
-func (s *service) least(now time.Time) teaseltack.Level {
-	if len(s.homes) < s.homeCount || len(s.homes) == 0 {
+// median is robust against one home that is slow or one that is idle.
+func (s *service) median(now time.Time) teaseltack.Level {
+	if len(s.homes)*2 < s.homeCount || len(s.homes) == 0 {
 		return 0
 	}
-	least := teaseltack.Level(teaseltack.LevelCount)
+	levels := make([]teaseltack.Level, s.homeCount)
+	i := 0
 	for _, r := range s.homes {
-		least = min(least, decayed(r, now))
+		levels[i] = decayed(r, now)
+		i++
 	}
-	return least
+	slices.Sort(levels)
+	return levels[(len(levels)-1)/2]
 }
 
 func decayed(r report, now time.Time) teaseltack.Level {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,6 +1,7 @@
-// Package route chooses the home of a call: two random choices among the usable
-// homes of the nearest data centre, weighed by their in-band load and capacity.
-// It ejects homes that fail and probes them with a trickle.
+// Package route chooses the home of a call: the best of two random choices in
+// the own data centre and two elsewhere, by the time that each would take from
+// its in-band load, its capacity and its distance. It ejects homes that fail and
+// probes them with a trickle.
 package route
 
 import (
@@ -23,9 +24,18 @@
 	loadAge = time.Second
 	// failurePenalty multiplies the score of a home per failure in a row.
 	failurePenalty = 2
+	// loadWeight divides the part that calls within the limit add to the
+	// expected time, so that emptier homes go first.
+	loadWeight = 4
 	// coldShare is the part of the announced slots assumed before a home told
 	// its limit.
 	coldShare = 4
+	// stepDelay is the time assumed for the way to and from a data centre, per
+	// place in the order of nearness, before it was measured.
+	stepDelay = 2 * time.Millisecond
+	// delayMemory is the number of answers in which a measured delay that was
+	// too short is forgotten.
+	delayMemory = 256
 )
 
 // Config sets up a router.
@@ -45,6 +55,8 @@
 	mu       sync.Mutex
 	services map[teaseltack.Service][]*home
 	cut      map[teaseltack.DataCentre]bool
+	// delays holds the least time beside the work of late answers.
+	delays map[teaseltack.DataCentre]time.Duration
 }
 
 type home struct {
@@ -66,6 +78,7 @@
 		cfg:      cfg,
 		services: map[teaseltack.Service][]*home{},
 		cut:      map[teaseltack.DataCentre]bool{},
+		delays:   map[teaseltack.DataCentre]time.Duration{},
 	}
 }
 
@@ -132,13 +145,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Timers.Now()
-	candidates := r.candidates(req, now)
-	if len(candidates) == 0 {
+	local, remote := r.candidates(req, now)
+	if len(local)+len(remote) == 0 {
 		return teaseltack.Record{}, false
 	}
-	h := dueForProbe(candidates)
+	h := dueForProbe(local)
 	if h == nil || !req.Probe {
-		h = r.choose(candidates, now)
+		h = r.choose(local, remote, now)
 	}
 	h.outstanding++
 	if !h.ejectedUntil.IsZero() {
@@ -157,35 +170,50 @@
 	return nil
 }
 
-// candidates returns the homes of the best tier: usable, not shedding the call,
-// in the nearest data centre. Ejected homes come last, shedding ones before.
-func (r *Router) candidates(req Request, now time.Time) []*home {
-	const shedding, ejected = 1 << 10, 1 << 20
-	best := int(^uint(0) >> 1)
-	var tier []*home
+// tier orders homes by how fit they are for a call.
+type tier uint8
+
+const (
+	tierGood tier = iota
+	tierShedding
+	tierEjected
+	tierCount
+)
+
+// candidates returns the homes of the best tier that has any, those of the own
+// data centre and the others.
+func (r *Router) candidates(req Request, now time.Time) (local, remote []*home) {
+	var locals, remotes [tierCount][]*home
 	for _, h := range r.services[req.Service] {
 		if slices.Contains(req.Tried, h.record.Host) {
 			continue
 		}
-		rank := h.distance
-		if h.blocked(now) || r.cut[h.record.DataCentre] {
-			rank += ejected
-		} else if h.level(now) > req.Bucket {
-			if req.AvoidShedding {
-				continue
-			}
-			rank += shedding
-		}
-		if rank > best {
+		t := r.tierOf(h, req, now)
+		if t == tierShedding && req.AvoidShedding {
 			continue
 		}
-		if rank < best {
-			best = rank
-			tier = tier[:0]
+		if h.distance == 0 {
+			locals[t] = append(locals[t], h)
+		} else {
+			remotes[t] = append(remotes[t], h)
+		}
+	}
+	for t := range tierCount {
+		if len(locals[t])+len(remotes[t]) > 0 {
+			return locals[t], remotes[t]
 		}
-		tier = append(tier, h)
 	}
-	return tier
+	return nil, nil
+}
+
+func (r *Router) tierOf(h *home, req Request, now time.Time) tier {
+	switch {
+	case h.blocked(now) || r.cut[h.record.DataCentre]:
+		return tierEjected
+	case h.level(now) > req.Bucket:
+		return tierShedding
+	}
+	return tierGood
 }
 
 // blocked reports whether the home is ejected and not due for a probe.
@@ -203,38 +231,95 @@
 	return h.load.Level
 }
 
-func (r *Router) choose(candidates []*home, now time.Time) *home {
-	n := uint64(len(candidates))
-	i := r.cfg.Source.Uint64() % n
-	if n == 1 || r.cfg.Uniform {
-		return candidates[i]
+// choose takes the best of two random homes of the own data centre and two
+// others. Sampling keeps entries from crowding at the same best home.
+func (r *Router) choose(local, remote []*home, now time.Time) *home {
+	if r.cfg.Uniform {
+		all := slices.Concat(local, remote)
+		return all[r.cfg.Source.Uint64()%uint64(len(all))]
+	}
+	sampled := append(r.sample(local), r.sample(remote)...)
+	least := leastWork(sampled)
+	best := sampled[0]
+	bestTime := r.expected(best, least, now)
+	for _, h := range sampled[1:] {
+		if t := r.expected(h, least, now); t < bestTime {
+			best, bestTime = h, t
+		}
+	}
+	return best
+}
+
+// sample returns up to two different homes.
+func (r *Router) sample(homes []*home) []*home {
+	n := uint64(len(homes))
+	if n <= 1 {
+		return slices.Clone(homes)
 	}
+	i := r.cfg.Source.Uint64() % n
 	j := (i + 1 + r.cfg.Source.Uint64()%(n-1)) % n
-	first, second := candidates[i], candidates[j]
-	if second.score(now, first.work) < first.score(now, second.work) {
-		return second
+	return []*home{homes[i], homes[j]}
+}
+
+func leastWork(homes []*home) time.Duration {
+	least := time.Duration(0)
+	for _, h := range homes {
+		if h.work > 0 && (least == 0 || h.work < least) {
+			least = h.work
+		}
 	}
-	return first
+	return max(least, time.Millisecond)
 }
 
-// score estimates the time until the home answers, up to a common factor. A
-// home that told nothing lately is taken to be as fast as the other choice.
-func (h *home) score(now time.Time, otherWork time.Duration) float64 {
+// expected estimates the time until the home answers. A home that told nothing
+// lately is taken to be as fast as the fastest other choice.
+func (r *Router) expected(h *home, least time.Duration, now time.Time) time.Duration {
 	work := h.work
-	limit := float64(max(h.record.Slots/coldShare, 1))
-	inFlight := float64(h.outstanding)
+	limit := max(h.record.Slots/coldShare, 1)
+	inFlight := h.outstanding
 	if age := now.Sub(h.toldAt); age < loadAge && h.load.Limit > 0 {
 		weight := float64(loadAge-age) / float64(loadAge)
-		limit = float64(h.load.Limit)
-		inFlight = max(inFlight, weight*float64(h.load.InFlight))
-	} else if otherWork > 0 {
-		work = otherWork
+		limit = h.load.Limit
+		inFlight = max(inFlight, int(weight*float64(h.load.InFlight)))
+	} else {
+		work = least
+	}
+	if work == 0 {
+		work = least
 	}
-	score := (inFlight + 1) / limit * max(work, time.Millisecond).Seconds()
+	took := work
+	if inFlight >= limit {
+		took += work * time.Duration(inFlight-limit+1) / time.Duration(limit)
+	}
+	took += work * time.Duration(inFlight) / time.Duration(limit) / loadWeight
 	for range h.failures {
-		score *= failurePenalty
+		took *= failurePenalty
+	}
+	return took + r.delay(h)
+}
+
+// delay returns the time of the way to a home and back.
+func (r *Router) delay(h *home) time.Duration {
+	if h.distance == 0 {
+		return 0
+	}
+	if measured, ok := r.delays[h.record.DataCentre]; ok {
+		return measured
+	}
+	return stepDelay * time.Duration(h.distance)
+}
+
+func (r *Router) learnDelay(h *home, delay time.Duration) {
+	if delay < 0 {
+		return
+	}
+	name := h.record.DataCentre
+	old, ok := r.delays[name]
+	if !ok || delay < old {
+		r.delays[name] = delay
+		return
 	}
-	return score
+	r.delays[name] = old + (delay-old)/delayMemory
 }
 
 // Result is how a call at a home ended, as the router sees it.
@@ -252,8 +337,9 @@
 	Abandoned
 )
 
-// Done ends a call that Pick counted. The load is nil when none was told.
-func (r *Router) Done(record teaseltack.Record, result Result, load *teaseltack.Load, work time.Duration) {
+// Done ends a call that Pick counted. The load is nil when none was told; took
+// is the whole time of the call and work the part at the server.
+func (r *Router) Done(record teaseltack.Record, result Result, load *teaseltack.Load, took, work time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.find(record)
@@ -272,6 +358,7 @@
 		h.failures, h.ejections = 0, 0
 		h.ejectedUntil = time.Time{}
 		h.learnWork(work)
+		r.learnDelay(h, took-work)
 	case Refused:
 		h.ejectedUntil = time.Time{}
 	case Failed:
--- a/io/bench/result.go
+++ b/io/bench/result.go
@@ -18,7 +18,7 @@
 		}
 	}
 	seconds := triggerTime.Seconds()
-	offered := t.rate(warmTime)
+	offered := float64(len(inTrigger)) / seconds
 	whole, protected := t.count(inTrigger)
 	possible, possibleProtected := t.possible(offered)
 	run.OfferedPerS = float64(len(inTrigger)) / seconds
