Bound each method's slots by the time its nested calls wait below

Cause: under a 4x surge look-ups that queue at the deepest service held all slots of the three services above (214 ms instead of 78 ms per call), so calls that do not need the deepest service were shed although it alone was full. Change: lanes per method at the gate, each with an admission level of its own and a share of the limit that shrinks while calls wait below; queue time rides on answers; protected calls pass the share; a lateness of protected calls does not raise the level.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -2,8 +2,10 @@
 // the adaptive limit allows, queues the rest in order of priority for a bounded
 // time, and refuses what cannot be answered in time.
 //
-// A call is refused for overload only when no less important call is queued:
-// the refusal evicts those first.
+// Each method has a lane with its queue, its share of the limit and its
+// admission level. A protected call is not bound by its lane's share. It is
+// refused for overload only when no less important call is queued: the refusal
+// evicts those first.
 package admit
 
 import (
@@ -11,13 +13,21 @@
 	"time"
 
 	"teaseltack"
-	"teaseltack/core/level"
 	"teaseltack/core/limit"
-	"teaseltack/core/queue"
 )
 
-// sweepPeriod is the period of the search for waiters past their time.
-const sweepPeriod = 5 * time.Millisecond
+const (
+	// sweepPeriod is the period of the search for waiters past their time.
+	sweepPeriod = 5 * time.Millisecond
+	// lateDivisor gives the wait from which a call counts as late, as a part of
+	// the longest wait.
+	lateDivisor = 4
+	// belowDivisor gives the wait below a call that its method's share aims at,
+	// as a part of the longest wait.
+	belowDivisor = 4
+	// maxLanes bounds the methods that are told apart; others share a lane.
+	maxLanes = 256
+)
 
 // Config sets up a gate.
 type Config struct {
@@ -35,8 +45,7 @@
 
 	mu       sync.Mutex
 	limit    *limit.Limit
-	queue    queue.Queue
-	advice   *level.Advice
+	lanes    map[teaseltack.Method]*lane
 	inFlight int
 	stop     func()
 }
@@ -49,7 +58,7 @@
 		timers:  cfg.Timers,
 		maxWait: cfg.MaxWait,
 		limit:   limit.New(cfg.Slots, cfg.Connections),
-		advice:  level.New(cfg.Timers.Now(), cfg.MaxWait/4),
+		lanes:   map[teaseltack.Method]*lane{},
 	}
 	g.stop = cfg.Timers.Every(sweepPeriod, g.sweep)
 	return g
@@ -72,54 +81,103 @@
 	}
 }
 
+// lane returns the lane of a method.
+func (g *Gate) lane(method teaseltack.Method) *lane {
+	if l := g.lanes[method]; l != nil {
+		return l
+	}
+	if len(g.lanes) >= maxLanes {
+		method = ""
+	}
+	if g.lanes[method] == nil {
+		g.lanes[method] = newLane(g.timers.Now(), g.maxWait/lateDivisor, g.maxWait/belowDivisor)
+	}
+	return g.lanes[method]
+}
+
 // Offer decides on a waiter now or later by one call of its Decide.
 func (g *Gate) Offer(w *teaseltack.Waiter) {
 	g.mu.Lock()
 	now := g.timers.Now()
 	w.Arrived = now
 	w.Index = -1
-	g.advice.Offered(w.Priority)
-	decisions := g.offer(w, now)
+	l := g.lane(w.Method)
+	l.advice.Offered(w.Priority)
+	decisions := g.offer(l, w, now)
 	decisions = append(decisions, g.fill(now)...)
 	g.mu.Unlock()
 	tell(decisions)
 }
 
-func (g *Gate) offer(w *teaseltack.Waiter, now time.Time) []decision {
+func (g *Gate) offer(l *lane, w *teaseltack.Waiter, now time.Time) []decision {
 	remaining := w.Deadline.Sub(now)
-	if remaining <= g.limit.Recent()/2 {
+	if remaining <= l.recent/2 {
 		return []decision{{w, teaseltack.Refuse(teaseltack.ReasonLifetime,
-			"%v left, the server takes %v", remaining, g.limit.Recent())}}
+			"%v left, the server takes %v", remaining, l.recent)}}
 	}
-	wait := g.expectedWait(w.Priority)
-	if wait <= g.maxWait && wait+g.limit.Recent() <= remaining {
-		g.queue.Push(w)
+	longest := min(g.maxWait, remaining-l.recent)
+	forServer := g.waitForServer(w.Priority)
+	if forServer <= longest && g.waitForShare(l, w.Priority) <= longest {
+		l.queue.Push(w)
 		return nil
 	}
-	g.advice.Refused()
-	decisions := g.evictBelow(w.Priority.Class)
-	refusal := teaseltack.Refuse(teaseltack.ReasonOverload, "expected wait %v", wait)
+	var decisions []decision
+	if forServer > longest {
+		decisions = g.evictBelow(w.Priority.Class)
+	}
+	return append(decisions, decision{w, g.overload(l, "expected wait above %v", longest)})
+}
+
+// overload makes the refusal of a call that found no room.
+func (g *Gate) overload(l *lane, format string, args ...any) *teaseltack.Refusal {
+	l.advice.Refused()
+	refusal := teaseltack.Refuse(teaseltack.ReasonOverload, format, args...)
 	refusal.RetryAfter = g.maxWait
-	return append(decisions, decision{w, refusal})
+	return refusal
 }
 
-// expectedWait estimates the time until a call of this priority is dispatched.
-func (g *Gate) expectedWait(p teaseltack.Priority) time.Duration {
-	free := g.limit.Current() - g.inFlight
-	ahead := g.queue.Ahead(p)
+// waitForServer estimates the time until the server has room for a call of
+// this priority.
+func (g *Gate) waitForServer(p teaseltack.Priority) time.Duration {
+	ahead := 0
+	for _, l := range g.lanes {
+		ahead += l.queue.Ahead(p)
+	}
+	return waitFor(ahead, g.inFlight, g.limit.Current(), g.limit.Recent())
+}
+
+// waitForShare estimates the time until the lane's share has room.
+func (g *Gate) waitForShare(l *lane, p teaseltack.Priority) time.Duration {
+	if unbound(p) {
+		return 0
+	}
+	return waitFor(l.queue.Ahead(p), l.share.Running(), l.share.Current(g.limit.Current()), l.recent)
+}
+
+// waitFor estimates the wait behind ahead calls where room calls run at once.
+func waitFor(ahead, running, room int, work time.Duration) time.Duration {
+	free := room - running
 	if ahead < free {
 		return 0
 	}
-	return time.Duration(ahead-max(free, 0)+1) * g.limit.Recent() / time.Duration(g.limit.Current())
+	return time.Duration(ahead-max(free, 0)+1) * work / time.Duration(max(room, 1))
+}
+
+// unbound reports whether a call may pass its lane's share, as a protected one
+// may for its importance.
+func unbound(p teaseltack.Priority) bool {
+	return p.Class == teaseltack.ClassProtected
 }
 
+// evictBelow refuses the queued calls that are less important than the class.
 func (g *Gate) evictBelow(class teaseltack.Class) []decision {
-	evicted := g.queue.RemoveIf(func(w *teaseltack.Waiter) bool { return w.Priority.Class < class })
-	decisions := make([]decision, 0, len(evicted)+1)
-	for _, w := range evicted {
-		refusal := teaseltack.Refuse(teaseltack.ReasonEvicted, "a %s call needed the place", class)
-		refusal.RetryAfter = g.maxWait
-		decisions = append(decisions, decision{w, refusal})
+	var decisions []decision
+	for _, l := range g.lanes {
+		for _, w := range l.queue.RemoveIf(func(w *teaseltack.Waiter) bool { return w.Priority.Class < class }) {
+			refusal := g.overload(l, "a %s call needed the place", class)
+			refusal.Reason = teaseltack.ReasonEvicted
+			decisions = append(decisions, decision{w, refusal})
+		}
 	}
 	return decisions
 }
@@ -128,51 +186,70 @@
 func (g *Gate) fill(now time.Time) []decision {
 	var decisions []decision
 	for g.inFlight < g.limit.Current() {
-		w := g.queue.Pop()
-		if w == nil {
+		l := g.next()
+		if l == nil {
 			break
 		}
-		if now.Add(g.limit.Recent() / 2).After(w.Deadline) {
-			decisions = append(decisions, decision{w, g.lateRefusal(now, w)})
+		w := l.queue.Pop()
+		if now.Add(l.recent / 2).After(w.Deadline) {
+			decisions = append(decisions, decision{w, g.overload(l, "waited %v", now.Sub(w.Arrived))})
 			continue
 		}
 		g.inFlight++
+		l.share.Begin()
 		w.Started = now
-		g.advice.Waited(now.Sub(w.Arrived))
+		if w.Priority.Class != teaseltack.ClassProtected {
+			l.advice.Waited(now.Sub(w.Arrived))
+		}
 		decisions = append(decisions, decision{w, nil})
 	}
 	return decisions
 }
 
-func (g *Gate) lateRefusal(now time.Time, w *teaseltack.Waiter) *teaseltack.Refusal {
-	g.advice.Refused()
-	refusal := teaseltack.Refuse(teaseltack.ReasonOverload, "waited %v", now.Sub(w.Arrived))
-	refusal.RetryAfter = g.maxWait
-	return refusal
+// next returns the lane whose first waiter is the most important of those that
+// their shares let run.
+func (g *Gate) next() *lane {
+	var best *lane
+	for _, l := range g.lanes {
+		w := l.queue.Peek()
+		if w == nil {
+			continue
+		}
+		if !unbound(w.Priority) && !l.share.Room(g.limit.Current()) {
+			continue
+		}
+		if best == nil || best.queue.Peek().Priority.Less(w.Priority) {
+			best = l
+		}
+	}
+	return best
 }
 
 // Withdraw takes back a waiter; false means that it was decided before.
 func (g *Gate) Withdraw(w *teaseltack.Waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.Remove(w)
+	return g.lane(w.Method).queue.Remove(w)
 }
 
 // Release ends an admitted call.
 func (g *Gate) Release(w *teaseltack.Waiter, outcome teaseltack.Outcome) {
 	g.mu.Lock()
 	now := g.timers.Now()
+	l := g.lane(w.Method)
+	work := now.Sub(w.Started)
 	switch outcome {
 	case teaseltack.OutcomeWhole:
-		g.limit.Succeed(now, now.Sub(w.Started), g.inFlight)
-		g.advice.Completed()
+		g.limit.Succeed(now, work, g.inFlight)
+		l.succeed(work)
 	case teaseltack.OutcomeFailed:
 		g.limit.Fail()
 	case teaseltack.OutcomeErrored:
-		g.advice.Completed()
+		l.advice.Completed()
 	case teaseltack.OutcomeCancelled:
-		g.limit.Abandon(now, now.Sub(w.Started))
+		g.limit.Abandon(now, work)
 	}
+	l.share.End(w.Below, g.limit.Current())
 	g.inFlight--
 	decisions := g.fill(now)
 	g.mu.Unlock()
@@ -180,24 +257,29 @@
 }
 
 // sweep refuses the waiters that stood too long and advances the advice. Less
-// important waiters never outlast a more important one that is refused.
+// important waiters never outlast a more important one that the server had no
+// room for.
 func (g *Gate) sweep() {
 	g.mu.Lock()
 	now := g.timers.Now()
-	late := g.queue.RemoveIf(func(w *teaseltack.Waiter) bool {
-		return now.Sub(w.Arrived) >= g.maxWait || !now.Before(w.Deadline)
-	})
 	var decisions []decision
 	highest := teaseltack.ClassLow
-	for _, w := range late {
-		decisions = append(decisions, decision{w, g.lateRefusal(now, w)})
-		highest = max(highest, w.Priority.Class)
-	}
-	if len(late) > 0 {
-		decisions = append(g.evictBelow(highest), decisions...)
+	for _, l := range g.lanes {
+		late := l.queue.RemoveIf(func(w *teaseltack.Waiter) bool {
+			return now.Sub(w.Arrived) >= g.maxWait || !now.Before(w.Deadline)
+		})
+		for _, w := range late {
+			decisions = append(decisions, decision{w, g.overload(l, "waited %v", now.Sub(w.Arrived))})
+			if unbound(w.Priority) || l.share.Room(g.limit.Current()) {
+				highest = max(highest, w.Priority.Class)
+			}
+		}
 	}
+	decisions = append(g.evictBelow(highest), decisions...)
 	decisions = append(decisions, g.fill(now)...)
-	g.advice.Advance(now)
+	for _, l := range g.lanes {
+		l.advice.Advance(now)
+	}
 	g.mu.Unlock()
 	tell(decisions)
 }
@@ -216,13 +298,32 @@
 	tell(decisions)
 }
 
-// Load reports the gate's state.
-func (g *Gate) Load() teaseltack.Load {
+// Load reports the gate's state with the admission level of one method.
+func (g *Gate) Load(method teaseltack.Method) teaseltack.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return teaseltack.Load{
-		Level:    g.advice.Level(),
-		InFlight: g.inFlight + g.queue.Len(),
-		Limit:    g.limit.Current(),
+	load := g.load()
+	if l := g.lanes[method]; l != nil {
+		load.Level = l.advice.Level()
+	}
+	return load
+}
+
+// Summary reports the gate's state with the highest admission level.
+func (g *Gate) Summary() teaseltack.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load := g.load()
+	for _, l := range g.lanes {
+		load.Level = max(load.Level, l.advice.Level())
+	}
+	return load
+}
+
+func (g *Gate) load() teaseltack.Load {
+	queued := 0
+	for _, l := range g.lanes {
+		queued += l.queue.Len()
 	}
+	return teaseltack.Load{InFlight: g.inFlight + queued, Limit: g.limit.Current()}
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -122,6 +122,7 @@
 	answer.RetriesLeft = left
 	if j.parent != nil {
 		j.parent.Purse.Return(left, left)
+		j.parent.Waited.Add(int64(answer.Waited))
 		if answer.Refusal != nil || answer.Status >= firstServerError {
 			j.parent.Troubled.Store(true)
 		}
@@ -283,6 +284,7 @@
 func (e *Entry) pickRequest(j *journey) route.Request {
 	return route.Request{
 		Service:       j.call.Target.Service,
+		Method:        j.call.Target.Method,
 		Bucket:        j.call.Priority.Bucket(),
 		Tried:         j.tried,
 		Probe:         !j.call.NonIdempotent,
@@ -330,13 +332,16 @@
 	if ctx.Err() == context.Canceled {
 		result = route.Abandoned
 	}
-	e.cfg.Router.Done(record, result, nil, 0, 0)
+	e.cfg.Router.Done(record, route.Word{Result: result})
 	return &teaseltack.Answer{ID: call.ID, Nonce: call.Nonce, Refusal: refusal}
 }
 
 func (e *Entry) learn(ctx context.Context, record teaseltack.Record, call *teaseltack.Call, answer *teaseltack.Answer, took time.Duration) {
 	e.cfg.Pressure.Observe(call.Target, record.Host, answer.Load)
-	e.cfg.Router.Done(record, resultOf(ctx, answer), &answer.Load, took, answer.Work)
+	e.cfg.Router.Done(record, route.Word{
+		Result: resultOf(ctx, answer), Load: &answer.Load, Method: call.Target.Method,
+		Took: took, Work: answer.Work, Waited: answer.Waited,
+	})
 }
 
 func resultOf(ctx context.Context, answer *teaseltack.Answer) route.Result {
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -113,16 +113,16 @@
 	const mostHomes = 3
 	last := teaseltack.Refuse(teaseltack.ReasonNoServer, "no server of %s takes new work", target.Service)
 	for range mostHomes {
-		record, ok := e.cfg.Router.Pick(route.Request{Service: target.Service, Bucket: bucket, Tried: tried})
+		record, ok := e.cfg.Router.Pick(route.Request{Service: target.Service, Method: target.Method, Bucket: bucket, Tried: tried})
 		if !ok {
 			return nil, last
 		}
 		tickets, err := e.issueAt(ctx, record, target, count)
 		if err == nil && len(tickets) > 0 {
-			e.cfg.Router.Done(record, route.Abandoned, nil, 0, 0)
+			e.cfg.Router.Done(record, route.Word{Result: route.Abandoned})
 			return tickets, nil
 		}
-		e.cfg.Router.Done(record, route.Failed, nil, 0, 0)
+		e.cfg.Router.Done(record, route.Word{Result: route.Failed})
 		tried = append(tried, record.Host)
 		if err != nil {
 			last = teaseltack.Refuse(teaseltack.ReasonNoServer, "asking host %s for a ticket: %v", record.Host, err)
--- a/core/fifo/fifo.go
+++ b/core/fifo/fifo.go
@@ -85,7 +85,7 @@
 func (g *Gate) Resize(_, _ int, _ bool) {}
 
 // Load reports the calls in flight; the baseline advises no level.
-func (g *Gate) Load() teaseltack.Load {
+func (g *Gate) Load(teaseltack.Method) teaseltack.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return teaseltack.Load{InFlight: g.inFlight + len(g.waiting), Limit: g.cfg.Limit}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -118,7 +118,7 @@
 }
 
 func (h *Home) load(target teaseltack.Target) teaseltack.Load {
-	load := h.cfg.Gate.Load()
+	load := h.cfg.Gate.Load(target.Method)
 	since := h.cfg.Timers.Now().Add(-nestedMemory)
 	for _, nested := range h.cfg.Scopes.Nested(target, since) {
 		load.Below = max(load.Below, h.cfg.Pressure.Level(nested))
@@ -218,6 +218,7 @@
 func (h *Home) pass(ctx context.Context, call *teaseltack.Call) (*teaseltack.Waiter, *teaseltack.Refusal) {
 	decided := make(chan *teaseltack.Refusal, 1)
 	w := &teaseltack.Waiter{
+		Method:   call.Target.Method,
 		Priority: call.Priority,
 		Deadline: call.Deadline,
 		Decide:   func(r *teaseltack.Refusal) { decided <- r },
@@ -312,12 +313,15 @@
 	answer, err := h.cfg.Server.Dispatch(ctx, call, token)
 	left := h.cfg.Scopes.Close(token)
 	work := h.cfg.Timers.Now().Sub(started)
+	w.Below = time.Duration(running.Waited.Load())
+	waited := w.Started.Sub(w.Arrived) + w.Below
 	h.cfg.Gate.Release(w, outcomeOf(ctx, answer, err))
 	if err != nil {
-		return &teaseltack.Answer{Refusal: teaseltack.AsRefusal(err), RetriesLeft: left, Work: work}
+		return &teaseltack.Answer{Refusal: teaseltack.AsRefusal(err), RetriesLeft: left, Work: work, Waited: waited}
 	}
 	answer.RetriesLeft = left
 	answer.Work = work
+	answer.Waited = waited
 	answer.Faulty = answer.Status >= firstServerError && !running.Troubled.Load()
 	return answer
 }
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -13,12 +13,20 @@
 )
 
 const (
-	// window is the time between two adjustments.
+	// window is the time over which calls are counted.
 	window = 50 * time.Millisecond
-	// headroom is the multiple of the completed calls offered above a new level.
-	headroom = 1.05
+	// settleTime is the time after a raise in which its effect arrives: calls let
+	// through before still come down the chain.
+	settleTime = 300 * time.Millisecond
+	// headroom bounds the calls let through after a raise, as a multiple of the
+	// completed ones.
+	headroom = 1.1
+	// backOff is the part of the calls let through that a raise leaves at most.
+	backOff = 0.95
 	// memory is the part of the counts that one window passes on to the next.
-	memory = 0.8
+	memory = 0.9
+	// lateShare is the share of late admissions that counts as overload.
+	lateShare = 0.1
 	// maxStep bounds how many buckets one window may lower the level.
 	maxStep = 8
 )
@@ -29,16 +37,17 @@
 	target    time.Duration
 	level     teaseltack.Level
 	windowEnd time.Time
+	settled   time.Time
 	offered   [teaseltack.LevelCount]float64
 	completed float64
 	refused   int
-	waits     time.Duration
+	late      int
 	waiters   int
 	step      teaseltack.Level
 }
 
-// New returns an advice of level 0. A mean wait above target counts as
-// overload.
+// New returns an advice of level 0. Calls that waited longer than target count
+// as late.
 func New(now time.Time, target time.Duration) *Advice {
 	return &Advice{target: target, windowEnd: now.Add(window), step: 1}
 }
@@ -55,8 +64,10 @@
 
 // Waited counts the time that an admitted call stood in the queue.
 func (a *Advice) Waited(wait time.Duration) {
-	a.waits += wait
 	a.waiters++
+	if wait > a.target {
+		a.late++
+	}
 }
 
 // Completed counts a whole answer.
@@ -74,30 +85,39 @@
 	if now.Before(a.windowEnd) {
 		return
 	}
-	if a.overloaded() {
+	a.windowEnd = now.Add(window)
+	overloaded := a.overloaded()
+	switch {
+	case now.Before(a.settled):
+	case overloaded:
 		a.raise()
-	} else {
+		a.settled = now.Add(settleTime)
+	default:
 		a.lower()
 	}
-	a.windowEnd = now.Add(window)
 	for i := range a.offered {
 		a.offered[i] *= memory
 	}
 	a.completed *= memory
-	a.refused, a.waits, a.waiters = 0, 0, 0
+	a.refused, a.late, a.waiters = 0, 0, 0
 }
 
 func (a *Advice) overloaded() bool {
 	if a.refused > 0 {
 		return true
 	}
-	return a.waiters > 0 && a.waits > a.target*time.Duration(a.waiters)
+	return float64(a.late) > lateShare*float64(a.waiters)
 }
 
-// raise sets the lowest level whose offered calls fit the completed ones.
+// raise sets the lowest level that lets through a little less than before, and
+// at once not much more than was completed.
 func (a *Advice) raise() {
 	a.step = 1
-	capacity := a.completed*headroom + 1
+	passed := 0.0
+	for _, n := range a.offered[a.level:] {
+		passed += n
+	}
+	capacity := min(passed*backOff, a.completed*headroom+1)
 	above := 0.0
 	for b := teaseltack.LevelCount - 1; b >= int(a.level); b-- {
 		above += a.offered[b]
--- a/core/press/press.go
+++ b/core/press/press.go
@@ -4,7 +4,6 @@
 package press
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -34,27 +33,28 @@
 	at    time.Time
 }
 
-type service struct {
-	homes     map[teaseltack.HostID]report
-	summary   teaseltack.Level
-	summedAt  time.Time
-	homeCount int
+// method is what homes told of one target.
+type method struct {
+	homes    map[teaseltack.HostID]report
+	below    report
+	summary  teaseltack.Level
+	summedAt time.Time
 }
 
 // Table holds the levels. It is safe for concurrent use.
 type Table struct {
-	timers   teaseltack.Timers
-	mu       sync.Mutex
-	services map[teaseltack.Service]*service
-	below    map[teaseltack.Target]report
+	timers  teaseltack.Timers
+	mu      sync.Mutex
+	homes   map[teaseltack.Service]map[teaseltack.HostID]bool
+	methods map[teaseltack.Target]*method
 }
 
 // New returns an empty table.
 func New(cfg Config) *Table {
 	return &Table{
-		timers:   cfg.Timers,
-		services: map[teaseltack.Service]*service{},
-		below:    map[teaseltack.Target]report{},
+		timers:  cfg.Timers,
+		homes:   map[teaseltack.Service]map[teaseltack.HostID]bool{},
+		methods: map[teaseltack.Target]*method{},
 	}
 }
 
@@ -63,15 +63,21 @@
 func (t *Table) SetHomes(name teaseltack.Service, homes []teaseltack.HostID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	kept := make(map[teaseltack.HostID]report, len(homes))
-	if old := t.services[name]; old != nil {
-		for _, h := range homes {
-			if r, ok := old.homes[h]; ok {
-				kept[h] = r
+	set := make(map[teaseltack.HostID]bool, len(homes))
+	for _, h := range homes {
+		set[h] = true
+	}
+	t.homes[name] = set
+	for target, m := range t.methods {
+		if target.Service != name {
+			continue
+		}
+		for host := range m.homes {
+			if !set[host] {
+				delete(m.homes, host)
 			}
 		}
 	}
-	t.services[name] = &service{homes: kept, homeCount: len(homes)}
 }
 
 // Observe notes the load that an answer of a home told.
@@ -79,62 +85,48 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.timers.Now()
-	if s := t.services[target.Service]; s != nil {
-		s.homes[home] = report{load.Level, now}
+	m := t.methods[target]
+	if m == nil {
+		m = &method{homes: map[teaseltack.HostID]report{}}
+		t.methods[target] = m
+	}
+	if t.homes[target.Service][home] {
+		m.homes[home] = report{load.Level, now}
 	}
 	level := load.Below
-	if old := decayed(t.below[target], now); level < old {
+	if old := decayed(m.below, now); level < old {
 		level = old - (old-level+fallShare-1)/fallShare
 	}
-	if level == 0 {
-		delete(t.below, target)
-		return
-	}
-	t.below[target] = report{level, now}
+	m.below = report{level, now}
 }
 
-// Level returns the admission level of a target: the median of its homes' own
+// Level returns the admission level of a target: the mean of its homes' own
 // levels, or the level met below it where that is higher.
 func (t *Table) Level(target teaseltack.Target) teaseltack.Level {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.timers.Now()
-	below := decayed(t.below[target], now)
-	s := t.services[target.Service]
-	if s == nil {
-		return below
-	}
-	if now.Sub(s.summedAt) >= summaryAge {
-		s.summary = s.median(now)
-		s.summedAt = now
-	}
-	return max(s.summary, below)
-}
-
-// HomeLevel returns the last level that one home told, decayed by its age.
-func (t *Table) HomeLevel(name teaseltack.Service, home teaseltack.HostID) teaseltack.Level {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.services[name]
-	if s == nil {
+	m := t.methods[target]
+	if m == nil {
 		return 0
 	}
-	return decayed(s.homes[home], t.timers.Now())
+	now := t.timers.Now()
+	if now.Sub(m.summedAt) >= summaryAge {
+		m.summary = m.mean(now, len(t.homes[target.Service]))
+		m.summedAt = now
+	}
+	return max(m.summary, decayed(m.below, now))
 }
 
-// median is robust against one home that is slow or one that is idle.
-func (s *service) median(now time.Time) teaseltack.Level {
-	if len(s.homes)*2 < s.homeCount || len(s.homes) == 0 {
+// mean evens out the swings of the homes' levels.
+func (m *method) mean(now time.Time, count int) teaseltack.Level {
+	if count == 0 {
 		return 0
 	}
-	levels := make([]teaseltack.Level, s.homeCount)
-	i := 0
-	for _, r := range s.homes {
-		levels[i] = decayed(r, now)
-		i++
+	sum := teaseltack.Level(0)
+	for _, r := range m.homes {
+		sum += decayed(r, now)
 	}
-	slices.Sort(levels)
-	return levels[(len(levels)-1)/2]
+	return sum / teaseltack.Level(count)
 }
 
 func decayed(r report, now time.Time) teaseltack.Level {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -26,6 +26,14 @@
 	q.counts[w.Priority.Bucket()]++
 }
 
+// Peek returns the most important waiter, or nil.
+func (q *Queue) Peek() *teaseltack.Waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	return q.waiters[0]
+}
+
 // Pop removes the most important waiter, or returns nil.
 func (q *Queue) Pop() *teaseltack.Waiter {
 	if len(q.waiters) == 0 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -70,6 +70,13 @@
 	ejections    int
 	ejectedUntil time.Time
 	probing      bool
+	// levels holds the admission levels that the home told, by method.
+	levels map[teaseltack.Method]toldLevel
+}
+
+type toldLevel struct {
+	level teaseltack.Level
+	at    time.Time
 }
 
 // New returns a router without homes.
@@ -100,7 +107,7 @@
 		}
 		h := known[rec.Host]
 		if h == nil || h.record.Incarnation != rec.Incarnation || h.record.Service != rec.Service {
-			h = &home{distance: r.distance(rec.DataCentre)}
+			h = &home{distance: r.distance(rec.DataCentre), levels: map[teaseltack.Method]toldLevel{}}
 		}
 		h.record = rec
 		services[rec.Service] = append(services[rec.Service], h)
@@ -128,6 +135,7 @@
 // Request is what a pick has to know of the call.
 type Request struct {
 	Service teaseltack.Service
+	Method  teaseltack.Method
 	// Bucket is the call's priority bucket; homes that shed it come last.
 	Bucket teaseltack.Level
 	// Tried lists the homes that refused or failed the call.
@@ -210,7 +218,7 @@
 	switch {
 	case h.blocked(now) || r.cut[h.record.DataCentre]:
 		return tierEjected
-	case h.level(now) > req.Bucket:
+	case h.level(req.Method, now) > req.Bucket:
 		return tierShedding
 	}
 	return tierGood
@@ -224,11 +232,12 @@
 	return now.Before(h.ejectedUntil) || h.probing
 }
 
-func (h *home) level(now time.Time) teaseltack.Level {
-	if now.Sub(h.toldAt) > loadAge {
+func (h *home) level(method teaseltack.Method, now time.Time) teaseltack.Level {
+	told := h.levels[method]
+	if now.Sub(told.at) > loadAge {
 		return 0
 	}
-	return h.load.Level
+	return told.level
 }
 
 // choose takes the best of two random homes of the own data centre and two
@@ -337,9 +346,19 @@
 	Abandoned
 )
 
-// Done ends a call that Pick counted. The load is nil when none was told; took
-// is the whole time of the call and work the part at the server.
-func (r *Router) Done(record teaseltack.Record, result Result, load *teaseltack.Load, took, work time.Duration) {
+// Word is what came back of a call.
+type Word struct {
+	Result Result
+	// Load is nil when the home told none.
+	Load   *teaseltack.Load
+	Method teaseltack.Method
+	// Took is the time of the call as the entry saw it, Work the part at the
+	// server and Waited the part in queues.
+	Took, Work, Waited time.Duration
+}
+
+// Done ends a call that Pick counted.
+func (r *Router) Done(record teaseltack.Record, word Word) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.find(record)
@@ -349,16 +368,17 @@
 	now := r.cfg.Timers.Now()
 	h.outstanding = max(h.outstanding-1, 0)
 	h.probing = false
-	if load != nil {
-		h.load = *load
+	if word.Load != nil {
+		h.load = *word.Load
 		h.toldAt = now
+		h.levels[word.Method] = toldLevel{word.Load.Level, now}
 	}
-	switch result {
+	switch word.Result {
 	case Answered:
 		h.failures, h.ejections = 0, 0
 		h.ejectedUntil = time.Time{}
-		h.learnWork(work)
-		r.learnDelay(h, took-work)
+		h.learnWork(word.Work)
+		r.learnDelay(h, word.Took-word.Work-word.Waited)
 	case Refused:
 		h.ejectedUntil = time.Time{}
 	case Failed:
--- a/core/scope/scope.go
+++ b/core/scope/scope.go
@@ -24,6 +24,8 @@
 	Purse    *purse.Purse
 	// Troubled is set when a nested call got no good answer.
 	Troubled atomic.Bool
+	// Waited sums the time that nested calls waited in queues, in nanoseconds.
+	Waited atomic.Int64
 }
 
 // Table holds the scopes by their context token. It is safe for concurrent use.
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -81,6 +81,7 @@
 		FreshTicket: string(a.FreshTicket),
 		WorkUs:      a.Work.Microseconds(),
 		Faulty:      a.Faulty,
+		WaitedUs:    a.Waited.Microseconds(),
 	}
 	if a.Refusal != nil {
 		m.Reason = string(a.Refusal.Reason)
@@ -108,6 +109,7 @@
 		FreshTicket: teaseltack.Ticket(m.FreshTicket),
 		Work:        time.Duration(m.WorkUs) * time.Microsecond,
 		Faulty:      m.Faulty,
+		Waited:      max(time.Duration(m.WaitedUs)*time.Microsecond, 0),
 	}
 	if m.Reason != "" {
 		a.Refusal = &teaseltack.Refusal{
--- a/message.go
+++ b/message.go
@@ -56,6 +56,8 @@
 	FreshTicket Ticket
 	// Work is the time spent at the backend server.
 	Work time.Duration
+	// Waited is the time spent in queues, at the home and below it.
+	Waited time.Duration
 	// Faulty says that the server failed the call by itself and not because a
 	// nested call failed.
 	Faulty bool
--- a/ports.go
+++ b/ports.go
@@ -47,12 +47,13 @@
 	// Resize sets the slots and connections that the server announced; cold says
 	// that the server has just started.
 	Resize(slots, connections int, cold bool)
-	// Load reports the gate's state.
-	Load() Load
+	// Load reports the gate's state with the admission level of one method.
+	Load(method Method) Load
 }
 
 // Waiter is a call that stands before a gate.
 type Waiter struct {
+	Method   Method
 	Priority Priority
 	Deadline time.Time
 	// Decide receives nil on admission or the refusal; called once.
@@ -61,6 +62,9 @@
 	Index   int
 	Arrived time.Time
 	Started time.Time
+	// Below is the time that the call's nested calls waited in queues, set before
+	// the release.
+	Below time.Duration
 }
 
 // Outcome tells a gate how an admitted call ended.
