Let protected calls wait longer, raise the level on lasting overload only

Cause: with a tenfold slower deepest service the protected calls alone filled it to nine tenths, and the wait of 100 ms refused them; single bursts at 70% load raised levels, which showed as retries and as slow recovery. Change: four times the patience for protected calls, two overloaded windows in a row before a raise, a share that grows threefold in a call's time and shrinks by a fifth of a call.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -25,6 +25,8 @@
 	// belowDivisor gives the wait below a call that its method's share aims at,
 	// as a part of the longest wait.
 	belowDivisor = 4
+	// protectedPatience is how much longer a protected call may wait.
+	protectedPatience = 4
 	// maxLanes bounds the methods that are told apart; others share a lane.
 	maxLanes = 256
 )
@@ -115,7 +117,7 @@
 		return []decision{{w, teaseltack.Refuse(teaseltack.ReasonLifetime,
 			"%v left, the server takes %v", remaining, l.recent)}}
 	}
-	longest := min(g.maxWait, remaining-l.recent)
+	longest := min(g.patience(w.Priority), remaining-l.recent)
 	forServer := g.waitForServer(w.Priority)
 	if forServer <= longest && g.waitForShare(l, w.Priority) <= longest {
 		l.queue.Push(w)
@@ -128,6 +130,15 @@
 	return append(decisions, decision{w, g.overload(l, "expected wait above %v", longest)})
 }
 
+// patience bounds the time in the queue: a protected call may wait longer
+// before it is refused.
+func (g *Gate) patience(p teaseltack.Priority) time.Duration {
+	if p.Class == teaseltack.ClassProtected {
+		return protectedPatience * g.maxWait
+	}
+	return g.maxWait
+}
+
 // overload makes the refusal of a call that found no room.
 func (g *Gate) overload(l *lane, format string, args ...any) *teaseltack.Refusal {
 	l.advice.Refused()
@@ -266,7 +277,7 @@
 	highest := teaseltack.ClassLow
 	for _, l := range g.lanes {
 		late := l.queue.RemoveIf(func(w *teaseltack.Waiter) bool {
-			return now.Sub(w.Arrived) >= g.maxWait || !now.Before(w.Deadline)
+			return now.Sub(w.Arrived) >= g.patience(w.Priority) || !now.Before(w.Deadline)
 		})
 		for _, w := range late {
 			decisions = append(decisions, decision{w, g.overload(l, "waited %v", now.Sub(w.Arrived))})
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -15,6 +15,9 @@
 const (
 	// window is the time over which calls are counted.
 	window = 50 * time.Millisecond
+	// lastingWindows is the number of overloaded windows in a row that raise the
+	// level, so that a burst does not.
+	lastingWindows = 2
 	// settleTime is the time after a raise in which its effect arrives: calls let
 	// through before still come down the chain.
 	settleTime = 300 * time.Millisecond
@@ -38,6 +41,7 @@
 	level     teaseltack.Level
 	windowEnd time.Time
 	settled   time.Time
+	lasting   int
 	offered   [teaseltack.LevelCount]float64
 	completed float64
 	refused   int
@@ -86,13 +90,17 @@
 		return
 	}
 	a.windowEnd = now.Add(window)
-	overloaded := a.overloaded()
+	if a.overloaded() {
+		a.lasting++
+	} else {
+		a.lasting = 0
+	}
 	switch {
 	case now.Before(a.settled):
-	case overloaded:
+	case a.lasting >= lastingWindows:
 		a.raise()
 		a.settled = now.Add(settleTime)
-	default:
+	case a.lasting == 0:
 		a.lower()
 	}
 	for i := range a.offered {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -8,10 +8,10 @@
 
 const (
 	// gain is what a call without any wait below adds to a full share, which
-	// grows by this part in the time of one call.
-	gain = 0.5
+	// grows by this multiple in the time of one call.
+	gain = 2
 	// mostShrink bounds what a call with a long wait takes, as a part of gain.
-	mostShrink = 0.4
+	mostShrink = 0.1
 	// smoothing is the weight of one call in the mean wait.
 	smoothing = 0.1
 	// leastDivisor gives the smallest share, as a part of the limit.
