--- /dev/null
+++ b/core/entry/rig_test.go
@@ -0,0 +1,334 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"teaseltack"
+	"teaseltack/core/admit"
+	"teaseltack/core/claim"
+	"teaseltack/core/entry"
+	"teaseltack/core/home"
+	"teaseltack/core/press"
+	"teaseltack/core/route"
+	"teaseltack/core/scope"
+	"teaseltack/core/ticket"
+	"teaseltack/io/clock"
+	"teaseltack/io/random"
+)
+
+// trouble is what the network or a server does to one attempt.
+type trouble int
+
+const (
+	fine trouble = iota
+	loseRequest
+	loseAnswer
+	duplicateRequest
+	swapAnswer
+	slowServer
+	refuseConnection
+	troubleCount
+)
+
+// fakeFleet is a few hosts of each service, joined by a network that a test
+// troubles.
+type fakeFleet struct {
+	hosts    map[teaseltack.HostID]*fakeHost
+	order    []*fakeHost
+	policies map[teaseltack.Target]teaseltack.Policy
+	nested   map[teaseltack.Service][]teaseltack.Target
+	parallel bool
+	forget   bool
+	draw     func() trouble
+	store    *fakeStore
+
+	mu       sync.Mutex
+	runs     map[string]int
+	forwards int
+	serves   int
+	calls    map[teaseltack.RequestID]int
+}
+
+type fakeHost struct {
+	fleet   *fakeFleet
+	record  teaseltack.Record
+	home    *home.Home
+	entry   *entry.Entry
+	gate    *admit.Gate
+	tickets *ticket.Table
+	scopes  *scope.Table
+	router  *route.Router
+	press   *press.Table
+	source  *random.Source
+	work    time.Duration
+}
+
+const (
+	testLifetime = time.Second
+	ticketTime   = 30 * time.Second
+)
+
+func newFakeFleet(seed byte, services map[teaseltack.Service]int) *fakeFleet {
+	f := &fakeFleet{
+		hosts:    map[teaseltack.HostID]*fakeHost{},
+		policies: map[teaseltack.Target]teaseltack.Policy{},
+		nested:   map[teaseltack.Service][]teaseltack.Target{},
+		draw:     func() trouble { return fine },
+		store:    newFakeStore(),
+		runs:     map[string]int{},
+		calls:    map[teaseltack.RequestID]int{},
+	}
+	for name, count := range services {
+		for i := range count {
+			f.addHost(seed, name, i)
+		}
+	}
+	f.tellHomes()
+	return f
+}
+
+func (f *fakeFleet) addHost(seed byte, service teaseltack.Service, i int) {
+	h := &fakeHost{fleet: f, work: 5 * time.Millisecond, source: random.Seeded(seed + byte(len(f.order)))}
+	h.record = teaseltack.Record{
+		Host: teaseltack.HostID(fmt.Sprintf("%s-%d", service, i)), Service: service, Serving: teaseltack.Ready, Slots: 4, Connections: 8,
+	}
+	f.order = append(f.order, h)
+	f.hosts[h.record.Host] = h
+	h.start(1)
+}
+
+// start makes a new life of the daemon.
+func (h *fakeHost) start(incarnation teaseltack.Incarnation) {
+	timers := clock.Clock{}
+	h.press = press.New(press.Config{Timers: timers})
+	h.scopes = scope.New(scope.Config{Source: h.source})
+	h.gate = admit.New(admit.Config{Timers: timers, Slots: 4, Connections: 8, MaxWait: 100 * time.Millisecond})
+	h.tickets = ticket.New(ticket.Config{
+		Timers: timers, Source: h.source, Host: h.record.Host, Incarnation: incarnation,
+		Lifetime: ticketTime, MaxEntries: 1000, MaxKeptBytes: 1 << 20,
+	})
+	h.home = home.New(home.Config{
+		Timers: timers, Host: h.record.Host, Gate: h.gate, Server: h, Tickets: h.tickets, Scopes: h.scopes, Pressure: h.press,
+	})
+	h.home.SetServing(h.record.Service, teaseltack.Ready)
+	h.router = route.New(route.Config{Timers: timers, Source: h.source})
+	h.entry = entry.New(entry.Config{
+		Timers: timers, Source: h.source, Host: h.record.Host, Policies: h.fleet, Router: h.router, Pressure: h.press, Scopes: h.scopes,
+		Homes: h, Local: h.home, Observe: h,
+		Claims: claim.New(claim.Config{Timers: timers, Store: h.fleet.store, KeyLifetime: time.Hour, FleetRate: 1000}),
+	})
+}
+
+func (h *fakeHost) stop() {
+	h.gate.Close()
+	h.home.Close()
+	h.tickets.Close()
+}
+
+// restart kills the daemon's memory and starts the next life.
+func (h *fakeHost) restart(incarnation teaseltack.Incarnation) {
+	h.stop()
+	h.start(incarnation)
+	h.fleet.tellHomes()
+}
+
+func (f *fakeFleet) stop() {
+	for _, h := range f.order {
+		h.stop()
+	}
+}
+
+func (f *fakeFleet) tellHomes() {
+	var records []teaseltack.Record
+	homes := map[teaseltack.Service][]teaseltack.HostID{}
+	for _, h := range f.order {
+		records = append(records, h.record)
+		homes[h.record.Service] = append(homes[h.record.Service], h.record.Host)
+	}
+	for _, h := range f.order {
+		h.entry.Learn(records, homes)
+	}
+}
+
+// Policy implements teaseltack.Policies.
+func (f *fakeFleet) Policy(t teaseltack.Target) (teaseltack.Policy, bool) {
+	p, ok := f.policies[t]
+	return p, ok
+}
+
+func (f *fakeFleet) addPolicy(t teaseltack.Target, class teaseltack.Class, nonIdempotent bool, retries teaseltack.Tokens) {
+	f.policies[t] = teaseltack.Policy{Target: t, Class: class, Lifetime: testLifetime, NonIdempotent: nonIdempotent, Retries: retries}
+}
+
+// Answered implements entry.Observer.
+func (h *fakeHost) Answered(teaseltack.Target, teaseltack.Class, *teaseltack.Answer) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	h.fleet.serves++
+}
+
+// Retried implements entry.Observer.
+func (h *fakeHost) Retried(teaseltack.Target) {}
+
+// Forward carries a call with the drawn trouble.
+func (h *fakeHost) Forward(ctx context.Context, to teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
+	f := h.fleet
+	f.mu.Lock()
+	f.forwards++
+	t := f.draw()
+	f.mu.Unlock()
+	target := f.hosts[to.Host]
+	switch t {
+	case loseRequest:
+		<-ctx.Done()
+		return nil, teaseltack.Doubt(teaseltack.ReasonConnection, "lost")
+	case refuseConnection:
+		return nil, teaseltack.Refuse(teaseltack.ReasonConnection, "refused")
+	case duplicateRequest:
+		go target.home.Serve(ctx, call)
+	}
+	answer := target.home.Serve(ctx, call)
+	if t == loseAnswer {
+		return nil, teaseltack.Doubt(teaseltack.ReasonConnection, "cut")
+	}
+	if t == swapAnswer {
+		other := *answer
+		other.Nonce = "of another call"
+		return &other, nil
+	}
+	return answer, nil
+}
+
+// IssueTickets asks the home directly.
+func (h *fakeHost) IssueTickets(_ context.Context, to teaseltack.Record, target teaseltack.Target, count int) ([]teaseltack.Ticket, error) {
+	tickets, refusal := h.fleet.hosts[to.Host].home.IssueTickets(target, count)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return tickets, nil
+}
+
+// Dispatch is the backend server: it counts the run, works, calls below and
+// echoes the body.
+func (h *fakeHost) Dispatch(ctx context.Context, call *teaseltack.Call, token string) (*teaseltack.Answer, error) {
+	f := h.fleet
+	f.mu.Lock()
+	f.runs[string(call.Payload.Body)]++
+	f.calls[call.ID]++
+	t := f.draw()
+	f.mu.Unlock()
+	work := h.work
+	if t == slowServer {
+		work = 2 * testLifetime
+	}
+	select {
+	case <-time.After(work):
+	case <-ctx.Done():
+		return nil, teaseltack.Doubt(teaseltack.ReasonLifetime, "given up")
+	}
+	if t == loseAnswer {
+		return nil, teaseltack.Doubt(teaseltack.ReasonAnswerCut, "cut")
+	}
+	status := h.callBelow(ctx, call, token)
+	return &teaseltack.Answer{Status: status, Body: call.Payload.Body}, nil
+}
+
+func (h *fakeHost) callBelow(ctx context.Context, call *teaseltack.Call, token string) int {
+	f := h.fleet
+	if f.forget {
+		token = ""
+	}
+	statuses := make([]int, len(f.nested[h.record.Service]))
+	var group sync.WaitGroup
+	for i, t := range f.nested[h.record.Service] {
+		one := func() {
+			answer := h.entry.Serve(ctx, &teaseltack.Arrival{ID: call.ID, Target: t, Retries: -1, Parent: token, Nested: true, Payload: call.Payload})
+			statuses[i] = answer.Status
+		}
+		if f.parallel {
+			group.Go(one)
+		} else {
+			one()
+		}
+	}
+	group.Wait()
+	for _, s := range statuses {
+		if s != 200 {
+			return 502
+		}
+	}
+	return 200
+}
+
+func (f *fakeFleet) runsOf(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[body]
+}
+
+// fakeStore is a key-value service that a test troubles.
+type fakeStore struct {
+	mu     sync.Mutex
+	values map[string]teaseltack.Entry
+	last   uint64
+	down   bool
+	// loseNext loses the answers of the next writes after they took effect.
+	loseNext int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: map[string]teaseltack.Entry{}}
+}
+
+var errDown = fmt.Errorf("the platform is down")
+
+// Get implements teaseltack.KeyValue.
+func (s *fakeStore) Get(_ context.Context, key string) (teaseltack.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return teaseltack.Entry{}, errDown
+	}
+	return s.values[key], nil
+}
+
+// Swap implements teaseltack.KeyValue.
+func (s *fakeStore) Swap(_ context.Context, key string, value []byte, expected uint64, _ time.Duration) (teaseltack.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return teaseltack.Entry{}, errDown
+	}
+	if s.values[key].Revision != expected {
+		return s.values[key], nil
+	}
+	s.last++
+	s.values[key] = teaseltack.Entry{Value: value, Revision: s.last}
+	if s.loseNext > 0 {
+		s.loseNext--
+		return teaseltack.Entry{}, errDown
+	}
+	written := s.values[key]
+	written.Swapped = true
+	return written, nil
+}
+
+// Watch implements teaseltack.KeyValue.
+func (s *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (teaseltack.Entry, error) {
+	return s.Get(ctx, key)
+}
+
+func target(service, method string) teaseltack.Target {
+	return teaseltack.Target{Service: teaseltack.Service(service), Method: teaseltack.Method(method)}
+}
+
+func assertVerdict(t testing.TB, answer *teaseltack.Answer, want teaseltack.Verdict) {
+	t.Helper()
+	assert.Equal(t, answer.Verdict(), want, "refusal: %v", answer.Refusal)
+}
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -14,6 +14,7 @@
 	"teaseltack/core/press"
 	"teaseltack/core/purse"
 	"teaseltack/core/scope"
+	"teaseltack/core/seen"
 	"teaseltack/core/ticket"
 )
 
@@ -41,7 +42,8 @@
 
 // Home serves the calls for one backend server. It is safe for concurrent use.
 type Home struct {
-	cfg Config
+	cfg    Config
+	nonces *seen.Nonces
 
 	mu        sync.Mutex
 	service   teaseltack.Service
@@ -51,9 +53,15 @@
 	announced bool
 }
 
-// New returns a home without an announced server.
+// New returns a home without an announced server. It subscribes to the timers
+// until Close.
 func New(cfg Config) *Home {
-	return &Home{cfg: cfg}
+	return &Home{cfg: cfg, nonces: seen.New(seen.Config{Timers: cfg.Timers})}
+}
+
+// Close ends the subscription to the timers.
+func (h *Home) Close() {
+	h.nonces.Close()
 }
 
 // SetServing says which service the server announced and whether it takes new
@@ -136,6 +144,9 @@
 
 func (h *Home) serve(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
 	if !call.NonIdempotent {
+		if !h.nonces.Enter(call.Nonce, call.Deadline) {
+			return refusedAnswer(call, teaseltack.Doubt(teaseltack.ReasonDuplicate, "a copy of the call arrived before"))
+		}
 		return h.attempt(ctx, call)
 	}
 	key, expires, refusal := h.memoryKey(call)
--- /dev/null
+++ b/core/seen/seen.go
@@ -0,0 +1,64 @@
+// Package seen remembers the nonces of the calls that arrived, so that a copy of
+// a call that the network delivers again is never run beside the first.
+package seen
+
+import (
+	"sync"
+	"time"
+
+	"teaseltack"
+)
+
+const (
+	// memory is how long a nonce is remembered after its call's deadline.
+	memory = 5 * time.Second
+	// sweepPeriod is the period of forgetting.
+	sweepPeriod = time.Second
+)
+
+// Config sets up a memory.
+type Config struct {
+	Timers teaseltack.Timers
+}
+
+// Nonces remembers nonces. It is safe for concurrent use.
+type Nonces struct {
+	timers teaseltack.Timers
+	mu     sync.Mutex
+	until  map[teaseltack.Nonce]time.Time
+	stop   func()
+}
+
+// New returns an empty memory that subscribes to the timers until Close.
+func New(cfg Config) *Nonces {
+	n := &Nonces{timers: cfg.Timers, until: map[teaseltack.Nonce]time.Time{}}
+	n.stop = cfg.Timers.Every(sweepPeriod, n.sweep)
+	return n
+}
+
+// Close ends the subscription to the timers.
+func (n *Nonces) Close() {
+	n.stop()
+}
+
+// Enter remembers the nonce of a call and reports whether it is new.
+func (n *Nonces) Enter(nonce teaseltack.Nonce, deadline time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.until[nonce]; known {
+		return false
+	}
+	n.until[nonce] = deadline.Add(memory)
+	return true
+}
+
+func (n *Nonces) sweep() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.timers.Now()
+	for nonce, until := range n.until {
+		if now.After(until) {
+			delete(n.until, nonce)
+		}
+	}
+}
--- a/io/bench/rig.go
+++ b/io/bench/rig.go
@@ -90,7 +90,7 @@
 		Router:  route.New(route.Config{Timers: timers, Source: r.source, DataCentre: record.DataCentre, Uniform: r.policy == policyThin}),
 		Observe: r.ledger, Greedy: r.policy == policyThin,
 	})
-	n.closers = append(n.closers, n.tickets.Close)
+	n.closers = append(n.closers, n.tickets.Close, n.home.Close)
 }
 
 func (r *rig) newGate(n *node, record teaseltack.Record) teaseltack.Gate {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -139,7 +139,7 @@
 		Seeds: func() []string { return s.Peers }, Generation: d.holder.Generation, Heard: d.holder.Confirm,
 		Adopt: d.adopt, Cut: d.cut,
 	})
-	d.stops = append(d.stops, d.mesh.Close, d.gate.Close, d.tickets.Close)
+	d.stops = append(d.stops, d.mesh.Close, d.home.Close, d.gate.Close, d.tickets.Close)
 }
 
 // messageOverhead is the room for headers beside a body in a peer message.
--- a/verdict.go
+++ b/verdict.go
@@ -55,6 +55,7 @@
 	ReasonServer         Reason = "server-unreachable"
 	ReasonAnswerMismatch Reason = "answer-mismatch"
 	ReasonAnswerCut      Reason = "answer-cut"
+	ReasonDuplicate      Reason = "duplicate"
 	ReasonAnswerDropped  Reason = "answer-dropped"
 )
 
