--- a/core/change/change.go
+++ b/core/change/change.go
@@ -130,14 +130,14 @@
 	if wrote {
 		return &operatorv1.Outcome{Result: unknown, Detail: fmt.Sprintf("the change may have been written (%v); repeat it with the same change id", err)}
 	}
-	return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("nothing was written: %v", err)}
+	return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("this request wrote nothing (an earlier one with the same change id may stand): %v", err)}
 }
 
 // decide returns an outcome that is settled already, or the next document.
 func (c *Changer) decide(ctx context.Context, document *operatorv1.Document, step policy.Step, expected teaseltack.Generation) (*operatorv1.Outcome, *operatorv1.Document) {
 	earlier, err := c.find(ctx, document, step.ChangeID)
 	if err != nil {
-		return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("nothing was written now: %v", err)}, nil
+		return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("this request wrote nothing (an earlier one with the same change id may stand): %v", err)}, nil
 	}
 	if len(earlier) > 0 {
 		return acceptance(earlier[0].Generation, earlier), nil
--- /dev/null
+++ b/io/back/back_test.go
@@ -0,0 +1,143 @@
+package back_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"teaseltack"
+	"teaseltack/io/back"
+	"teaseltack/io/clock"
+)
+
+// rawServer answers each request on a connection by the given function; false
+// closes the connection.
+func rawServer(t *testing.T, answer func(conn net.Conn, r *http.Request) bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveRaw(conn, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serveRaw(conn net.Conn, answer func(net.Conn, *http.Request) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil || !answer(conn, request) {
+			return
+		}
+	}
+}
+
+func newServer(address string) *back.Server {
+	s := back.New(back.Config{Timers: clock.Clock{}, MaxAnswerBytes: 100})
+	s.SetAddress(address, 4)
+	return s
+}
+
+func dispatch(s *back.Server, verb, key string, lifetime time.Duration) (*teaseltack.Answer, error) {
+	call := &teaseltack.Call{ID: "a", Target: teaseltack.Target{Service: "s", Method: "m"}, Deadline: time.Now().Add(lifetime)}
+	call.Payload.Verb = verb
+	if key != "" {
+		call.Payload.Headers = []teaseltack.HeaderField{{Name: "Idempotency-Key", Value: key}}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lifetime)
+	defer cancel()
+	return s.Dispatch(ctx, call, "token")
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// The HTTP library sends a GET, and a POST with an Idempotency-Key, a second
+// time when a kept connection breaks. Nobody would have counted that attempt.
+func TestTheLibraryDoesNotRetryByItself(t *testing.T) {
+	for name, test := range map[string]struct{ verb, key string }{
+		"GET":           {http.MethodGet, ""},
+		"POST with key": {http.MethodPost, "key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var seen atomic.Int32
+			address := rawServer(t, func(conn net.Conn, _ *http.Request) bool {
+				if seen.Add(1) == 2 {
+					return false
+				}
+				_, err := conn.Write([]byte(okAnswer))
+				return err == nil
+			})
+			s := newServer(address)
+			_, err := dispatch(s, test.verb, test.key, 5*time.Second)
+			assert.NilError(t, err)
+			_, err = dispatch(s, test.verb, test.key, 5*time.Second)
+			assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.MayHaveRun)
+			assert.Equal(t, seen.Load(), int32(2), "the request was sent again")
+		})
+	}
+}
+
+func TestVerdictsOfBrokenAnswers(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	serve := func(text string) string {
+		return rawServer(t, func(conn net.Conn, _ *http.Request) bool {
+			_, _ = conn.Write([]byte(text))
+			return false
+		})
+	}
+	for name, test := range map[string]struct {
+		address string
+		verdict teaseltack.Verdict
+		reason  teaseltack.Reason
+	}{
+		"connection refused": {closed.Addr().String(), teaseltack.NotRun, teaseltack.ReasonServer},
+		"closed unanswered":  {serve(""), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
+		"cut in the headers": {serve("HTTP/1.1 200 OK\r\nContent-Le"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
+		"cut in the body":    {serve("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
+		"cut in a chunk":     {serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
+		"too large":          {serve("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + string(make([]byte, 101))), teaseltack.Ran, teaseltack.ReasonTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := dispatch(newServer(test.address), http.MethodPost, "", 5*time.Second)
+			refusal := teaseltack.AsRefusal(err)
+			assert.Equal(t, refusal.Verdict, test.verdict)
+			assert.Equal(t, refusal.Reason, test.reason)
+		})
+	}
+}
+
+// A kept connection that went silent costs one call; the next one is answered
+// on a new connection.
+func TestSilentConnectionCostsOneCall(t *testing.T) {
+	var requests atomic.Int32
+	address := rawServer(t, func(conn net.Conn, _ *http.Request) bool {
+		if requests.Add(1) == 2 {
+			return true
+		}
+		_, err := conn.Write([]byte(okAnswer))
+		return err == nil
+	})
+	s := newServer(address)
+	_, err := dispatch(s, http.MethodPost, "", 5*time.Second)
+	assert.NilError(t, err)
+	_, err = dispatch(s, http.MethodPost, "", 100*time.Millisecond)
+	assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.MayHaveRun)
+	_, err = dispatch(s, http.MethodPost, "", 5*time.Second)
+	assert.NilError(t, err)
+}
--- /dev/null
+++ b/io/config/config_test.go
@@ -0,0 +1,82 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"teaseltack/io/config"
+)
+
+const good = `{
+	// A comment.
+	"host": "till-1", "data-centre": "arusha-a",
+	"outer-address": "127.0.0.1:7001", "inner-address": "127.0.0.1:7002",
+	"peer-address": "127.0.0.1:7003", "operator-address": "127.0.0.1:7004",
+}`
+
+func TestGoodSettingsWithComments(t *testing.T) {
+	settings, err := config.Parse("f", []byte(good))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Host, "till-1")
+	assert.Equal(t, settings.MaxWaitMs, int64(100))
+}
+
+func TestSamplesAreGood(t *testing.T) {
+	paths, err := filepath.Glob("../../samples/*.hujson")
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) >= 2)
+	for _, path := range paths {
+		if strings.HasPrefix(filepath.Base(path), "policies") {
+			continue
+		}
+		_, err := config.Load(path)
+		assert.NilError(t, err)
+	}
+}
+
+func TestFaultsNamePlaceValueAndWhatIsAllowed(t *testing.T) {
+	for name, test := range map[string]struct{ from, to, want string }{
+		"unknown key":      {`"host": "till-1"`, `"hots": "x", "host": "till-1"`, `f:3:2: hots is an unknown key, allowed are host, data-centre`},
+		"wrong type":       {`"host": "till-1"`, `"host": 7`, `f:3:10: host is 7, allowed is a text`},
+		"bad name":         {`"till-1"`, `"Till 1"`, `f:3:10: host is "Till 1", allowed are 1 to 63 of a-z, 0-9 and hyphen`},
+		"host name":        {`127.0.0.1:7001`, `localhost:7001`, `outer-address is "localhost:7001", allowed is IP:PORT`},
+		"two on one port":  {`127.0.0.1:7002`, `127.0.0.1:7001`, `inner-address is "127.0.0.1:7001", allowed is an address that outer-address does not use`},
+		"out of range":     {`"host": "till-1"`, `"max-wait-ms": 0, "host": "till-1"`, `f:3:17: max-wait-ms is 0, allowed is 1 to 10000`},
+		"twice":            {`"host": "till-1"`, `"host": "till-1", "host": "b"`, `host is given twice`},
+		"short lifetime":   {`"host": "till-1"`, `"default-lifetime-ms": 50, "host": "till-1"`, `default-lifetime-ms is 50, allowed is more than max-wait-ms`},
+		"short key memory": {`"host": "till-1"`, `"key-lifetime-s": 5, "host": "till-1"`, `key-lifetime-s is 5, allowed is at least ticket-lifetime-s`},
+		"no JSON":          {`{`, `[`, `f: hujson: line 3`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := config.Parse("f", []byte(strings.Replace(good, test.from, test.to, 1)))
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := strings.NewReplacer(`"till-1"`, `"A"`, `"arusha-a"`, `"B"`).Replace(good)
+	_, err := config.Parse("f", []byte(text))
+	assert.Equal(t, strings.Count(err.Error(), "\n"), 1)
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := config.Load(filepath.Join(t.TempDir(), "none"))
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"host": 1, "host": [], "peers": ["a", 2]}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		settings, err := config.Parse("f", text)
+		if (settings == nil) == (err == nil) {
+			t.Fatalf("settings %v, error %v", settings, err)
+		}
+	})
+}
--- /dev/null
+++ b/io/outer/outer_test.go
@@ -0,0 +1,130 @@
+package outer_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"teaseltack"
+	"teaseltack/core/admit"
+	"teaseltack/core/entry"
+	"teaseltack/core/home"
+	"teaseltack/core/press"
+	"teaseltack/core/route"
+	"teaseltack/core/scope"
+	"teaseltack/core/ticket"
+	"teaseltack/io/clock"
+	"teaseltack/io/outer"
+	"teaseltack/io/random"
+)
+
+// onePolicy knows one method, till/post.
+type onePolicy struct{}
+
+func (onePolicy) Policy(t teaseltack.Target) (teaseltack.Policy, bool) {
+	return teaseltack.Policy{Target: t, Class: teaseltack.ClassHigh, Lifetime: time.Second, Retries: 2}, t.Method == "post"
+}
+
+// echoServer answers with the request's body.
+type echoServer struct{ calls int }
+
+func (s *echoServer) Dispatch(_ context.Context, call *teaseltack.Call, _ string) (*teaseltack.Answer, error) {
+	s.calls++
+	return &teaseltack.Answer{Status: http.StatusOK, Body: call.Payload.Body}, nil
+}
+
+func newDoor(t *testing.T, server teaseltack.Server) *httptest.Server {
+	t.Helper()
+	timers, source := clock.Clock{}, random.Seeded(1)
+	pressure := press.New(press.Config{Timers: timers})
+	scopes := scope.New(scope.Config{Source: source})
+	gate := admit.New(admit.Config{Timers: timers, Slots: 4, Connections: 8, MaxWait: 100 * time.Millisecond})
+	tickets := ticket.New(ticket.Config{Timers: timers, Source: source, Host: "h", Incarnation: 1, Lifetime: time.Minute, MaxEntries: 10, MaxKeptBytes: 100})
+	local := home.New(home.Config{Timers: timers, Host: "h", Gate: gate, Server: server, Tickets: tickets, Scopes: scopes, Pressure: pressure})
+	local.SetServing("till", teaseltack.Ready)
+	router := route.New(route.Config{Timers: timers, Source: source})
+	router.Update([]teaseltack.Record{{Host: "h", Service: "till", Serving: teaseltack.Ready, Slots: 4}})
+	e := entry.New(entry.Config{Timers: timers, Source: source, Host: "h", Policies: onePolicy{}, Router: router, Pressure: pressure, Scopes: scopes, Local: local})
+	door := httptest.NewServer(outer.New(outer.Config{Timers: timers, Source: source, Entry: e, Log: hclog.NewNullLogger(), MaxBodyBytes: 100}))
+	t.Cleanup(func() {
+		door.Close()
+		gate.Close()
+		tickets.Close()
+		local.Close()
+	})
+	return door
+}
+
+func TestWholeAnswer(t *testing.T) {
+	door := newDoor(t, &echoServer{})
+	response, err := http.Post(door.URL+"/till/post", "text/plain", strings.NewReader("hello"))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "hello")
+	assert.Equal(t, response.Header.Get("Teaseltack-Verdict"), "ran")
+}
+
+func TestBadRequestsDidNotRun(t *testing.T) {
+	long := strings.Repeat("x", 300)
+	for name, test := range map[string]struct {
+		path, header, value string
+		body                string
+		status              int
+	}{
+		"negative lifetime":  {"/till/post", "Teaseltack-Lifetime-Ms", "-5", "", 400},
+		"huge lifetime":      {"/till/post", "Teaseltack-Lifetime-Ms", "99999999999999999999", "", 400},
+		"purse too large":    {"/till/post", "Teaseltack-Retries", "3", "", 400},
+		"purse no number":    {"/till/post", "Teaseltack-Retries", "many", "", 400},
+		"class too high":     {"/till/post", "Teaseltack-Class", "protected", "", 400},
+		"unknown class":      {"/till/post", "Teaseltack-Class", "vip", "", 400},
+		"context at outer":   {"/till/post", "Teaseltack-Context", "abc", "", 400},
+		"long request id":    {"/till/post", "Teaseltack-Request-Id", long, "", 400},
+		"negative attempt":   {"/till/post", "Teaseltack-Attempt", "-1", "", 400},
+		"unknown method":     {"/till/other", "", "", "", 404},
+		"unknown path":       {"/till", "", "", "", 404},
+		"body over the size": {"/till/post", "", "", long, 413},
+		"announce at outer":  {"/teaseltack/v1/announce", "", "", "{}", 404},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &echoServer{}
+			door := newDoor(t, server)
+			request, err := http.NewRequest(http.MethodPost, door.URL+test.path, strings.NewReader(test.body))
+			assert.NilError(t, err)
+			if test.header != "" {
+				request.Header.Set(test.header, test.value)
+			}
+			response, err := http.DefaultClient.Do(request)
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			assert.Equal(t, response.StatusCode, test.status)
+			assert.Equal(t, response.Header.Get("Teaseltack-Verdict"), "not-run")
+			assert.Equal(t, server.calls, 0)
+		})
+	}
+}
+
+func FuzzHeaders(f *testing.F) {
+	f.Add("5", "protected", "1", "0")
+	f.Add("-1", "", "999999999999", "x")
+	f.Fuzz(func(t *testing.T, lifetime, class, retries, attempt string) {
+		door := newDoor(t, &echoServer{})
+		request := httptest.NewRequest(http.MethodPost, "/till/post", strings.NewReader("b"))
+		for name, value := range map[string]string{"Teaseltack-Lifetime-Ms": lifetime, "Teaseltack-Class": class, "Teaseltack-Retries": retries, "Teaseltack-Attempt": attempt} {
+			request.Header[name] = []string{value}
+		}
+		recorder := httptest.NewRecorder()
+		door.Config.Handler.ServeHTTP(recorder, request)
+		if recorder.Header().Get("Teaseltack-Verdict") == "" {
+			t.Fatalf("no verdict, status %d", recorder.Code)
+		}
+	})
+}
