Keep serving while leaving; find peers through the platform; test processes

Cause: separate processes under failure showed four faults: a run after status said leaving (the home learned of the mark 20 ms after the holder); a request lost in a rolling replacement (a stale view sent it to a leaving home and its repeat had no retries; a stopping daemon answered not-ready at once); a restarted daemon without peers in its settings was ready before it knew any server; and a test that met another test's port. Ruled out: slow membership news, which were in time.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -25,6 +25,9 @@
 	// keptBack is the number of retries that an entry keeps for itself when it
 	// moves the others down the chain.
 	keptBack = 1
+	// maxCorrections bounds the homes without new work that a call may meet
+	// before another choice counts as a retry.
+	maxCorrections = 3
 	// pressureDelay is the time after which a call shed at the root may try
 	// again.
 	pressureDelay = 200 * time.Millisecond
@@ -86,6 +89,8 @@
 	parent *scope.Scope
 	key    string
 	tried  []teaseltack.HostID
+	// corrections counts the homes that turned out to take no new work.
+	corrections int
 	// doubt is set once an attempt may have run.
 	doubt bool
 }
@@ -265,7 +270,10 @@
 			return orNoServer(last, j.call.Target)
 		}
 		answer := e.forward(ctx, record, j)
-		if answer.Refusal == nil || !e.mayRetry(ctx, j, answer.Refusal) {
+		if answer.Refusal == nil {
+			return answer
+		}
+		if !e.corrected(ctx, j, answer.Refusal) && !e.mayRetry(ctx, j, answer.Refusal) {
 			return answer
 		}
 		last = answer
@@ -348,6 +356,8 @@
 	switch {
 	case answer.Refusal == nil && !answer.Faulty:
 		return route.Answered
+	case answer.Refusal != nil && answer.Refusal.Reason == teaseltack.ReasonLeaving:
+		return route.Gone
 	case answer.Refusal != nil && answer.Refusal.Verdict == teaseltack.NotRun:
 		return route.Refused
 	case ctx.Err() == context.Canceled:
@@ -356,6 +366,20 @@
 	return route.Failed
 }
 
+// corrected reports whether the home took no new work, which a stale view of the
+// membership caused. Nothing was queued or run, so choosing anew is no retry.
+func (e *Entry) corrected(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
+	if refusal.Verdict != teaseltack.NotRun || ctx.Err() != nil || j.corrections == maxCorrections {
+		return false
+	}
+	switch refusal.Reason {
+	case teaseltack.ReasonLeaving, teaseltack.ReasonNoServer, teaseltack.ReasonWrongHost:
+		j.corrections++
+		return true
+	}
+	return false
+}
+
 // mayRetry decides on one more attempt and pays for it.
 func (e *Entry) mayRetry(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
 	if j.policy.NonIdempotent && refusal.Verdict != teaseltack.NotRun {
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -151,7 +151,7 @@
 	if isFinal(refusal.Reason) || ctx.Err() != nil {
 		return false
 	}
-	return e.payRetry(j, refusal)
+	return e.corrected(ctx, j, refusal) || e.payRetry(j, refusal)
 }
 
 func (e *Entry) rebind(ctx context.Context, j *journey, earlier *claim.Bound, answer *teaseltack.Answer) *teaseltack.Answer {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -36,6 +36,8 @@
 	Server  teaseltack.Server
 	Tickets *ticket.Table
 	Scopes  *scope.Table
+	// Marked reports whether operators marked the host as leaving; it may be nil.
+	Marked func() bool
 	// Pressure is the daemon's view of the targets that the server calls.
 	Pressure *press.Table
 }
@@ -106,7 +108,7 @@
 	if h.service != service {
 		return teaseltack.Refuse(teaseltack.ReasonWrongHost, "host %s serves %s", h.cfg.Host, h.service)
 	}
-	if h.serving == teaseltack.Leaving {
+	if h.serving == teaseltack.Leaving || h.cfg.Marked != nil && h.cfg.Marked() {
 		return teaseltack.Refuse(teaseltack.ReasonLeaving, "the server of host %s is leaving", h.cfg.Host)
 	}
 	return nil
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -67,7 +67,9 @@
 	failures map[teaseltack.HostID]int
 	reaches  map[teaseltack.DataCentre]*reach
 	busy     map[string]bool
-	stop     func()
+	// contacted is set once any other daemon answered or called.
+	contacted bool
+	stop      func()
 }
 
 // New returns a mesh that subscribes to the timers until Close.
@@ -105,6 +107,32 @@
 	}
 }
 
+// Contact calls first contacts at once, as a starting daemon does.
+func (m *Mesh) Contact() {
+	const most = 3
+	seeds := m.cfg.Seeds()
+	if len(seeds) == 0 {
+		return
+	}
+	first := m.cfg.Source.Uint64() % uint64(len(seeds))
+	for i := range min(most, len(seeds)) {
+		go m.exchange(partner{address: seeds[(int(first)+i)%len(seeds)]})
+	}
+}
+
+// Contacted reports whether any other daemon was heard.
+func (m *Mesh) Contacted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.contacted
+}
+
+func (m *Mesh) hear() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contacted = true
+}
+
 // Spread calls all partners at once, to pass on a change without delay.
 func (m *Mesh) Spread() {
 	view := m.view()
@@ -243,6 +271,7 @@
 	}
 	m.answered(p)
 	m.absorb(ctx, p.address, answer)
+	m.hear()
 }
 
 func (m *Mesh) message(to teaseltack.HostID) teaseltack.Exchange {
@@ -298,6 +327,7 @@
 // Receive answers an exchange that a partner began.
 func (m *Mesh) Receive(message teaseltack.Exchange) teaseltack.Exchange {
 	m.cfg.Members.Merge(message.Changed)
+	m.hear()
 	m.cfg.Heard(message.Generation, message.FreshAge)
 	known, age := m.cfg.Generation()
 	if message.Generation > known {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -20,6 +20,9 @@
 	firstEjection = 500 * time.Millisecond
 	// longestEjection bounds an ejection.
 	longestEjection = 8 * time.Second
+	// goneTime is how long a home that takes no new work comes last, unless the
+	// membership tells otherwise before.
+	goneTime = 2 * time.Second
 	// loadAge is the age at which the load that a home told counts for nothing.
 	loadAge = time.Second
 	// failurePenalty multiplies the score of a home per failure in a row.
@@ -70,6 +73,7 @@
 	ejections    int
 	ejectedUntil time.Time
 	probing      bool
+	goneUntil    time.Time
 	// levels holds the admission levels that the home told, by method.
 	levels map[teaseltack.Method]toldLevel
 }
@@ -109,6 +113,9 @@
 		if h == nil || h.record.Incarnation != rec.Incarnation || h.record.Service != rec.Service {
 			h = &home{distance: r.distance(rec.DataCentre), levels: map[teaseltack.Method]toldLevel{}}
 		}
+		if h.record.Version != rec.Version {
+			h.goneUntil = time.Time{}
+		}
 		h.record = rec
 		services[rec.Service] = append(services[rec.Service], h)
 	}
@@ -226,6 +233,9 @@
 
 // blocked reports whether the home is ejected and not due for a probe.
 func (h *home) blocked(now time.Time) bool {
+	if now.Before(h.goneUntil) {
+		return true
+	}
 	if h.ejectedUntil.IsZero() {
 		return false
 	}
@@ -342,6 +352,8 @@
 	Refused
 	// Failed is a lost connection, a silent home or a failing server.
 	Failed
+	// Gone is a home's own word that it takes no new work.
+	Gone
 	// Abandoned is a call that the caller gave up; it says nothing of the home.
 	Abandoned
 )
@@ -381,6 +393,8 @@
 		r.learnDelay(h, word.Took-word.Work-word.Waited)
 	case Refused:
 		h.ejectedUntil = time.Time{}
+	case Gone:
+		h.goneUntil = now.Add(goneTime)
 	case Failed:
 		h.failures = min(h.failures+1, ejectAfter*2)
 		r.ejectIfDue(h, now)
--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,275 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const shopPolicies = `{"set": [
+	{"service": "orders", "method": "look-up", "class": "normal", "lifetime-ms": 5000, "retries": 4},
+	{"service": "till", "method": "check", "class": "normal", "lifetime-ms": 5000, "retries": 4},
+	{"service": "till", "method": "pay", "class": "protected", "lifetime-ms": 5000, "non-idempotent": true, "retries": 4},
+]}`
+
+// newShop starts two till servers and one orders server that calls them.
+func newShop(t *testing.T, more string, tillFlags ...string) *fleet {
+	t.Helper()
+	f := newFleet(t)
+	f.addDaemon("till-1", "a", more)
+	f.addDaemon("till-2", "b", more)
+	f.addDaemon("orders-1", "a", more)
+	f.apply(shopPolicies)
+	f.addBackend(f.daemons[0], "till", tillFlags...)
+	f.addBackend(f.daemons[1], "till", tillFlags...)
+	f.addBackend(f.daemons[2], "orders", "--nested", "till/check")
+	return f
+}
+
+func TestChainThroughSeparateProcesses(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	for _, d := range f.daemons {
+		r := post(d, "/orders/look-up", "")
+		assert.Equal(t, r.status, http.StatusOK, "%+v", r)
+		assert.Equal(t, r.verdict, "ran")
+	}
+	bad := post(f.daemons[0], "/orders/look-up", "", "Teaseltack-Class", "protected")
+	assert.Equal(t, bad.status, http.StatusBadRequest)
+	assert.Equal(t, bad.verdict, "not-run")
+	history := command(f.daemons[1], "policy", "history")
+	assert.Assert(t, strings.Contains(history, "policy till/pay"), history)
+}
+
+func TestBadSettingsExitWith2(t *testing.T) {
+	t.Parallel()
+	path := filepath.Join(t.TempDir(), "bad.hujson")
+	assert.NilError(t, os.WriteFile(path, []byte("{\n\"hots\": \"a\"\n}"), 0o600))
+	output, err := exec.Command(program, "daemon", "--settings", path).CombinedOutput()
+	assert.Assert(t, err != nil)
+	assert.Equal(t, err.(*exec.ExitError).ExitCode(), 2)
+	assert.Assert(t, strings.Contains(string(output), ":2:1: hots is an unknown key"), "%s", output)
+}
+
+// A payment is repeated through both other daemons while its home is killed in
+// the middle of the run.
+func TestHomeKilledInTheMiddleOfARun(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "", "--work", "400ms", "--spread", "0")
+	ticket := ticketOf(t, f, "till-1")
+	first := make(chan reply)
+	go func() {
+		first <- post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", ticket, "Idempotency-Key", "killed")
+	}()
+	time.Sleep(150 * time.Millisecond)
+	f.daemons[0].kill()
+	r := <-first
+	assert.Equal(t, r.verdict, "may-have-run", "%+v", r)
+	f.daemons[0].begin()
+	for _, d := range f.daemons {
+		repeat := post(d, "/till/pay", "", "Teaseltack-Ticket", ticket, "Idempotency-Key", "killed", "Teaseltack-Attempt", "1")
+		assert.Equal(t, repeat.verdict, "may-have-run", "%+v", repeat)
+	}
+	assert.Assert(t, f.runs("killed") <= 1)
+}
+
+// ticketOf gets a ticket that names the host.
+func ticketOf(t *testing.T, f *fleet, host string) string {
+	t.Helper()
+	var ticket string
+	await(t, "a ticket of "+host, func() bool {
+		r := post(f.daemons[2], "/teaseltack/v1/tickets?service=till&method=pay", "")
+		var given struct{ Tickets []string }
+		if json.Unmarshal([]byte(r.body), &given) != nil || len(given.Tickets) != 1 {
+			return false
+		}
+		ticket = given.Tickets[0]
+		return homeOf(ticket) == host
+	})
+	return ticket
+}
+
+func TestKeysThroughManyEntriesAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	const keys, copies = 10, 6
+	var group sync.WaitGroup
+	for key := range keys {
+		for i := range copies {
+			group.Go(func() {
+				post(f.daemons[i%3], "/till/pay", "", "Idempotency-Key", fmt.Sprintf("key-%d", key), "Teaseltack-Attempt", fmt.Sprint(i))
+			})
+		}
+	}
+	group.Wait()
+	for key := range keys {
+		assert.Equal(t, f.runs(fmt.Sprintf("key-%d", key)), 1)
+	}
+}
+
+// A home frozen past the expiry of its tickets never runs them when it wakes.
+func TestHomeFrozenPastTheExpiry(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, `, "ticket-lifetime-s": 2`)
+	ticket, home := ticketOf(t, f, "till-1"), f.daemons[0]
+	home.signal(syscall.SIGSTOP)
+	answered := make(chan reply)
+	go func() {
+		answered <- post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", ticket, "Idempotency-Key", "frozen")
+	}()
+	time.Sleep(3 * time.Second)
+	home.signal(syscall.SIGCONT)
+	assert.Equal(t, (<-answered).verdict, "may-have-run")
+	repeat := post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", ticket, "Idempotency-Key", "frozen", "Teaseltack-Attempt", "1")
+	assert.Equal(t, repeat.verdict, "may-have-run")
+	assert.Equal(t, f.runs("frozen"), 0)
+}
+
+// The platform is down: calls go on, keys without tickets are refused, a new
+// daemon starts from its peers, changes are refused; afterwards all go on.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	f.platform.kill()
+	assert.Equal(t, post(f.daemons[0], "/orders/look-up", "").status, http.StatusOK)
+	keyed := post(f.daemons[0], "/till/pay", "", "Idempotency-Key", "outage", "Teaseltack-Attempt", "0")
+	assert.Equal(t, keyed.verdict, "not-run", "%+v", keyed)
+	assert.Equal(t, f.runs("outage"), 0)
+	refused := command(f.daemons[1], "server", "leave", "till-1")
+	assert.Assert(t, strings.Contains(refused, "refused"), refused)
+	f.addDaemon("late-1", "a", "")
+	assert.Assert(t, strings.Contains(command(f.daemons[3], "policy", "get"), "generation 1"))
+	assert.Equal(t, post(f.daemons[3], "/orders/look-up", "").status, http.StatusOK)
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	accepted := command(f.daemons[1], "server", "leave", "till-1", "--who", "eve")
+	assert.Assert(t, strings.Contains(accepted, "accepted"), accepted)
+	f.awaitServing("till-1", "leaving")
+	before := strings.Count(f.backends[0].text(), "run request-id")
+	for i := range 30 {
+		assert.Equal(t, post(f.daemons[i%3], "/till/check", "").status, http.StatusOK)
+	}
+	assert.Equal(t, strings.Count(f.backends[0].text(), "run request-id"), before)
+	f.daemons[0].kill()
+	f.daemons[0].begin()
+	f.awaitServing("till-1", "leaving")
+	for range 10 {
+		assert.Equal(t, post(f.daemons[0], "/till/check", "").status, http.StatusOK)
+	}
+	assert.Equal(t, strings.Count(f.backends[0].text(), "run request-id"), before, "the restarted daemon forgot the mark")
+	command(f.daemons[1], "server", "leave", "till-2")
+	f.awaitServing("till-2", "leaving")
+	last := post(f.daemons[2], "/till/check", "")
+	assert.Equal(t, last.verdict, "not-run", "%+v", last)
+	command(f.daemons[1], "server", "return", "till-1")
+	f.awaitServing("till-1", "ready")
+	assert.Equal(t, post(f.daemons[2], "/till/check", "").status, http.StatusOK)
+}
+
+// Every daemon is replaced in turn under load; callers move on to another
+// daemon when theirs is not ready, and no request is lost.
+func TestRollingReplacementLosesNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	stop := make(chan struct{})
+	lost := make(chan reply, 1000)
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if r := lookUpAnywhere(f, n); r.status != http.StatusOK {
+					lost <- r
+				}
+			}
+		})
+	}
+	for i, d := range f.daemons {
+		assert.NilError(t, d.stop(), d.text())
+		d.begin()
+		f.awaitServing([]string{"till-1", "till-2", "orders-1"}[i], "ready")
+	}
+	close(stop)
+	group.Wait()
+	close(lost)
+	for r := range lost {
+		t.Errorf("lost: %+v", r)
+	}
+}
+
+// lookUpAnywhere calls one till after the other daemon until one takes the call,
+// as a caller does that knows several addresses.
+func lookUpAnywhere(f *fleet, n int) reply {
+	var r reply
+	for attempt := range len(f.daemons) {
+		r = post(f.daemons[(n+attempt)%len(f.daemons)], "/till/check", "", "Teaseltack-Attempt", fmt.Sprint(attempt))
+		if r.status == http.StatusOK {
+			return r
+		}
+	}
+	return r
+}
+
+// A daemon and its server that stop cut no request in progress, also when the
+// nested part of it runs elsewhere.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "", "--work", "1500ms", "--spread", "0")
+	answered := make(chan reply, 3)
+	for _, path := range []string{"/till/check", "/orders/look-up", "/till/pay"} {
+		go func() { answered <- post(f.daemons[2], path, strings.Repeat("x", 100_000)) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, d := range f.daemons {
+		d.signal(syscall.SIGTERM)
+	}
+	for range 3 {
+		r := <-answered
+		assert.Equal(t, r.status, http.StatusOK, "%+v", r)
+	}
+	for _, d := range f.daemons {
+		<-d.done
+		assert.NilError(t, d.err, d.text())
+	}
+}
+
+// A generation that was in force is never followed by an older one, with the
+// platform frozen, answers lost and every daemon but one replaced.
+func TestGenerationSurvivesFreezesAndReplacements(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	f.platform.signal(syscall.SIGSTOP)
+	unknown := command(f.daemons[0], "server", "leave", "till-1", "--change-id", "once")
+	assert.Assert(t, !strings.Contains(unknown, "accepted"), unknown)
+	f.platform.signal(syscall.SIGCONT)
+	await(t, "the repeat is accepted", func() bool {
+		return strings.Contains(command(f.daemons[1], "server", "leave", "till-1", "--change-id", "once"), "accepted: generation 2")
+	})
+	f.awaitServing("till-1", "leaving")
+	f.platform.kill()
+	for _, d := range f.daemons[:2] {
+		d.kill()
+		d.begin()
+		await(t, "generation 2 at "+d.host, func() bool {
+			return strings.Contains(command(d, "policy", "get"), "generation 2")
+		})
+	}
+	f.awaitServing("till-1", "leaving")
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"teaseltack/core/press"
 	"teaseltack/core/route"
 	"teaseltack/core/scope"
+	"teaseltack/core/seeds"
 	"teaseltack/core/ticket"
 	"teaseltack/core/watch"
 	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
@@ -72,10 +74,13 @@
 	home    *home.Home
 	tickets *ticket.Table
 	claims  *claim.Claims
+	seeds   *seeds.List
 	entry   *entry.Entry
 	metrics *metric.Metrics
 
-	doors    doors
+	doors doors
+	// started opens the outer door, ready is what /readyz tells.
+	started  atomic.Bool
 	ready    atomic.Bool
 	stopping atomic.Bool
 
@@ -127,6 +132,7 @@
 	d.home = home.New(home.Config{
 		Timers: d.timers, Host: teaseltack.HostID(s.Host), Gate: d.gate, Server: d.server,
 		Tickets: d.tickets, Scopes: scopes, Pressure: d.press,
+		Marked: func() bool { return d.holder.Leaving(teaseltack.HostID(s.Host)) },
 	})
 	client := dial.New(dial.Config{Timers: d.timers, Key: auth.Key(s.PeerKey), MaxMessageBytes: int(s.MaxAnswerBytes) + messageOverhead})
 	d.buildPlatform(source)
@@ -136,7 +142,7 @@
 	})
 	d.mesh = mesh.New(mesh.Config{
 		Timers: d.timers, Source: source, Members: d.members, Overlay: client,
-		Seeds: func() []string { return s.Peers }, Generation: d.holder.Generation, Heard: d.holder.Confirm,
+		Seeds: d.firstContacts, Generation: d.holder.Generation, Heard: d.holder.Confirm,
 		Adopt: d.adopt, Cut: d.cut,
 	})
 	d.stops = append(d.stops, d.mesh.Close, d.home.Close, d.gate.Close, d.tickets.Close)
@@ -156,7 +162,19 @@
 	d.claims = claim.New(claim.Config{
 		Timers: d.timers, Store: platform, KeyLifetime: seconds(d.settings.KeyLifetimeS), FleetRate: float64(d.settings.ClaimsPerSecond),
 	})
-	d.stops = append(d.stops, d.watcher.Close)
+	d.seeds = seeds.New(seeds.Config{Timers: d.timers, Store: platform, Members: d.members, Near: near(d.settings)})
+	d.stops = append(d.stops, d.watcher.Close, d.seeds.Close)
+}
+
+// firstContacts returns the peers of the settings and of the platform, without
+// the own address.
+func (d *Daemon) firstContacts() []string {
+	contacts := slices.Clone(d.settings.Peers)
+	if d.seeds != nil {
+		contacts = append(contacts, d.seeds.Addresses()...)
+	}
+	own := d.doors.peer.Address()
+	return slices.DeleteFunc(contacts, func(address string) bool { return address == own })
 }
 
 // ownRecord makes the record of this life. Both numbers grow with the wall
@@ -212,22 +230,30 @@
 	return errors.Join(d.shutdown(hard), group.Wait())
 }
 
-// becomeReady opens the outer door once a configuration is in force, or after
-// readyWait without one.
+// becomeReady opens the outer door once a configuration is in force and another
+// daemon was heard, or after readyWait without them.
 func (d *Daemon) becomeReady(ctx context.Context) {
 	waitCtx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
-	for waitCtx.Err() == nil && !d.configured() {
+	for {
 		d.loadOnce(waitCtx)
-		select {
-		case <-waitCtx.Done():
-		case <-time.After(readyStep):
+		if d.configured() && (d.mesh.Contacted() || len(d.firstContacts()) == 0) {
+			break
+		}
+		d.mesh.Contact()
+		if !d.rest(waitCtx, readyStep) {
+			break
 		}
 	}
 	if ctx.Err() != nil {
 		return
 	}
+	d.refresh()
+	if d.seeds != nil {
+		d.seeds.Keep()
+	}
 	generation, _ := d.holder.Generation()
+	d.started.Store(true)
 	d.ready.Store(true)
 	d.log.Info("ready", "generation", generation)
 }
@@ -245,8 +271,12 @@
 		return
 	}
 	document, _, err := d.changer.Load(ctx)
-	if err == nil {
-		d.holder.Confirm(teaseltack.Generation(document.Generation), 0)
+	if err != nil {
+		return
+	}
+	d.holder.Confirm(teaseltack.Generation(document.Generation), 0)
+	if err := d.seeds.Read(ctx); err != nil {
+		d.log.Warn("no first contacts from the platform", "error", err)
 	}
 }
 
@@ -307,12 +337,13 @@
 	}
 }
 
-// Shutdown order: not ready and leaving, news spread, in-flight finished, doors
-// closed from the outside in.
+// shutdown tells everybody, goes on serving until the news has spread, finishes
+// what is in progress and closes the doors from the outside in.
 func (d *Daemon) shutdown(hard context.Context) error {
 	d.log.Info("shutting down", "in-flight", d.home.InFlight())
 	d.ready.Store(false)
 	d.stopping.Store(true)
+	d.doors.outer.KeepAlives(false)
 	d.applyServing()
 	d.members.UpdateOwn(func(r *teaseltack.Record) { r.State = teaseltack.Left })
 	d.mesh.Spread()
@@ -350,10 +381,13 @@
 	return faults
 }
 
-func (d *Daemon) rest(ctx context.Context, length time.Duration) {
+// rest waits and reports whether the context still goes on.
+func (d *Daemon) rest(ctx context.Context, length time.Duration) bool {
 	select {
 	case <-ctx.Done():
+		return false
 	case <-time.After(length):
+		return true
 	}
 }
 
--- a/io/daemon/doors.go
+++ b/io/daemon/doors.go
@@ -42,7 +42,7 @@
 	s := d.settings
 	source := random.New()
 	d.doors.outer.Handle(outer.New(outer.Config{
-		Timers: d.timers, Source: source, Entry: d.entry, Log: d.log.Named("outer"), MaxBodyBytes: s.MaxBodyBytes, Ready: d.ready.Load,
+		Timers: d.timers, Source: source, Entry: d.entry, Log: d.log.Named("outer"), MaxBodyBytes: s.MaxBodyBytes, Ready: d.started.Load,
 	}))
 	d.doors.inner.Handle(outer.New(outer.Config{
 		Timers: d.timers, Source: source, Entry: d.entry, Log: d.log.Named("inner"), MaxBodyBytes: s.MaxBodyBytes, Announce: d.announce,
