Measure the slopes of control; make its cost independent of the fleet

Ruled out: the exchanges, whose bytes did not grow. Change: teaseltack slopes; partners and duty computed after changes only; the age of an unchanged watch counts from the end of its wait; one document fetch at a time; all but the newest 32 audit entries are archived at once.

--- a/core/change/change.go
+++ b/core/change/change.go
@@ -27,8 +27,9 @@
 	// recentLimit is the number of audit entries from which older ones are
 	// archived.
 	recentLimit = 64
-	// archiveSize is the number of audit entries per archive key.
-	archiveSize = 32
+	// keptRecent is the number of newest audit entries that stay in the document
+	// when older ones are archived.
+	keptRecent = 32
 	// searchedArchives is the number of archive keys searched for a change id.
 	searchedArchives = 8
 	// attempts bounds the rounds of compare-and-swap.
@@ -225,7 +226,8 @@
 	if len(before.Recent) < recentLimit {
 		return nil
 	}
-	value, err := proto.Marshal(&operatorv1.GetHistoryResponse{Changes: before.Recent[:archiveSize], Complete: true})
+	older := len(before.Recent) - keptRecent
+	value, err := proto.Marshal(&operatorv1.GetHistoryResponse{Changes: before.Recent[:older], Complete: true})
 	if err != nil {
 		return fmt.Errorf("encoding an archive: %w", err)
 	}
@@ -235,7 +237,7 @@
 	if _, err := c.cfg.Store.Swap(callCtx, key, value, 0, 0); err != nil {
 		return fmt.Errorf("writing %s: %w", key, err)
 	}
-	next.Recent = next.Recent[archiveSize:]
+	next.Recent = next.Recent[older:]
 	next.Archives++
 	return nil
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -50,6 +50,8 @@
 	entries map[teaseltack.HostID]*entry
 	buckets [teaseltack.BucketCount]uint64
 	digest  uint64
+	// revision counts the changes of the records.
+	revision uint64
 }
 
 // New returns a table with the own record.
@@ -108,6 +110,7 @@
 	t.buckets[bucket] ^= e.hash ^ hash
 	t.digest ^= e.hash ^ hash
 	e.record, e.hash, e.changedAt = r, hash, t.timers.Now()
+	t.revision++
 }
 
 func (t *Table) remove(host teaseltack.HostID) {
@@ -115,6 +118,15 @@
 	t.buckets[bucketOf(host)] ^= e.hash
 	t.digest ^= e.hash
 	delete(t.entries, host)
+	t.revision++
+}
+
+// Revision counts the changes of the records, so that what was computed from
+// them can be kept while it stays the same.
+func (t *Table) Revision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision
 }
 
 // Merge takes in records of others and reports whether anything changed.
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -7,6 +7,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,6 +71,7 @@
 	busy     map[string]bool
 	// contacted is set once any other daemon answered or called.
 	contacted bool
+	kept      *view
 	stop      func()
 }
 
@@ -149,20 +152,39 @@
 
 // view is the membership as partners are chosen from it.
 type view struct {
-	own     teaseltack.Record
-	records map[teaseltack.HostID]teaseltack.Record
-	ring    ranks.Ranking
-	others  map[teaseltack.DataCentre][]teaseltack.HostID
-	lost    []teaseltack.Record
+	revision uint64
+	own      teaseltack.Record
+	records  map[teaseltack.HostID]teaseltack.Record
+	ring     ranks.Ranking
+	others   map[teaseltack.DataCentre]ranks.Ranking
+	lost     []teaseltack.Record
 }
 
-func (m *Mesh) view() view {
-	v := view{
-		own:     m.cfg.Members.Own(),
-		records: map[teaseltack.HostID]teaseltack.Record{},
-		others:  map[teaseltack.DataCentre][]teaseltack.HostID{},
+// view returns the partners to choose from, computed anew only after a change.
+func (m *Mesh) view() *view {
+	revision := m.cfg.Members.Revision()
+	m.mu.Lock()
+	kept := m.kept
+	m.mu.Unlock()
+	if kept != nil && kept.revision == revision {
+		return kept
+	}
+	v := m.look(revision)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kept = v
+	return v
+}
+
+func (m *Mesh) look(revision uint64) *view {
+	v := &view{
+		revision: revision,
+		own:      m.cfg.Members.Own(),
+		records:  map[teaseltack.HostID]teaseltack.Record{},
+		others:   map[teaseltack.DataCentre]ranks.Ranking{},
 	}
 	var local []teaseltack.HostID
+	others := map[teaseltack.DataCentre][]teaseltack.HostID{}
 	for _, r := range m.cfg.Members.Records() {
 		v.records[r.Host] = r
 		switch {
@@ -171,15 +193,18 @@
 		case r.DataCentre == v.own.DataCentre:
 			local = append(local, r.Host)
 		default:
-			v.others[r.DataCentre] = append(v.others[r.DataCentre], r.Host)
+			others[r.DataCentre] = append(others[r.DataCentre], r.Host)
 		}
 	}
 	v.ring = ranks.New("mesh", local)
+	for name, hosts := range others {
+		v.others[name] = ranks.New("across "+string(name), hosts)
+	}
 	return v
 }
 
 // chords returns the partners of the own data centre, the next one first.
-func (v view) chords() []teaseltack.HostID {
+func (v *view) chords() []teaseltack.HostID {
 	index := v.ring.Index(v.own.Host)
 	var chords []teaseltack.HostID
 	for distance := 1; distance < v.ring.Len(); distance *= 2 {
@@ -189,11 +214,11 @@
 }
 
 // across returns one partner in each other data centre, another one each round.
-func (v view) across(round int) []partner {
+func (v *view) across(round int) []partner {
 	index := max(v.ring.Index(v.own.Host), 0)
 	var partners []partner
-	for name, hosts := range v.others {
-		host := ranks.New("across "+string(name), hosts).At(index + round)
+	for _, name := range slices.Sorted(maps.Keys(v.others)) {
+		host := v.others[name].At(index + round)
 		partners = append(partners, partnerOf(v.records[host]))
 	}
 	return partners
@@ -225,7 +250,7 @@
 
 // farther returns a lost host and a first contact, so that healed partitions
 // and replaced fleets find each other.
-func (m *Mesh) farther(v view) []partner {
+func (m *Mesh) farther(v *view) []partner {
 	var partners []partner
 	if len(v.lost) > 0 {
 		r := v.lost[m.cfg.Source.Uint64()%uint64(len(v.lost))]
@@ -313,14 +338,20 @@
 	}
 }
 
+// fetch gets a newer document, from one partner at a time.
 func (m *Mesh) fetch(ctx context.Context, address string, generation teaseltack.Generation) {
+	const document = "document"
+	if !m.begin(document) {
+		return
+	}
+	defer m.end(document)
 	known, _ := m.cfg.Generation()
 	if generation <= known {
 		return
 	}
-	document, err := m.cfg.Overlay.FetchDocument(ctx, address, known)
-	if err == nil && document != nil {
-		m.cfg.Adopt(document)
+	fetched, err := m.cfg.Overlay.FetchDocument(ctx, address, known)
+	if err == nil && fetched != nil {
+		m.cfg.Adopt(fetched)
 	}
 }
 
@@ -344,10 +375,6 @@
 }
 
 func (m *Mesh) fetchFrom(address string, generation teaseltack.Generation) {
-	if !m.begin("document " + address) {
-		return
-	}
-	defer m.end("document " + address)
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
 	m.fetch(ctx, address, generation)
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -58,9 +58,14 @@
 	revision  uint64
 	notBefore time.Time
 	reachable bool
-	stop      func()
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// viewed is the revision of the membership that onDuty and population were
+	// computed from; only tick uses the three.
+	viewed     uint64
+	onDuty     bool
+	population int
+	stop       func()
+	ctx        context.Context
+	cancel     context.CancelFunc
 }
 
 // New returns a watcher that subscribes to the timers until Close.
@@ -86,21 +91,25 @@
 
 func (w *Watcher) tick() {
 	now := w.cfg.Timers.Now()
-	onDuty, population := w.duty()
+	revision := w.cfg.Members.Revision()
+	if revision != w.viewed {
+		w.onDuty, w.population = w.duty()
+		w.viewed = revision
+	}
 	_, age := w.cfg.Holder.Generation()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.busy || now.Before(w.notBefore) {
 		return
 	}
-	if onDuty {
+	if w.onDuty {
 		w.busy = true
 		go w.watch()
 		return
 	}
 	if age >= staleAfter {
 		w.busy = true
-		w.notBefore = now.Add(w.rest(population))
+		w.notBefore = now.Add(w.rest(w.population))
 		go w.read()
 	}
 }
@@ -134,11 +143,16 @@
 	defer cancel()
 	started := w.cfg.Timers.Now()
 	entry, err := w.cfg.Store.Watch(ctx, change.DocumentKey, revision, waitTime)
-	rest := time.Duration(0)
 	if err != nil {
-		rest = retryRest
+		w.finish(entry, err, 0, retryRest)
+		return
+	}
+	age := w.cfg.Timers.Now().Sub(started)
+	if len(entry.Value) == 0 {
+		// An answer without a change speaks of the end of the wait.
+		age = max(age-waitTime, 0)
 	}
-	w.finish(entry, err, started, rest)
+	w.finish(entry, nil, age, 0)
 }
 
 func (w *Watcher) read() {
@@ -146,12 +160,12 @@
 	defer cancel()
 	started := w.cfg.Timers.Now()
 	entry, err := w.cfg.Store.Get(ctx, change.DocumentKey)
-	w.finish(entry, err, started, 0)
+	w.finish(entry, err, w.cfg.Timers.Now().Sub(started), 0)
 }
 
-// finish takes in an answer. A frozen daemon may hold an old answer: its age
-// counts from the start of the call, and the holder refuses older generations.
-func (w *Watcher) finish(entry teaseltack.Entry, err error, started time.Time, rest time.Duration) {
+// finish takes in an answer of some age. A frozen daemon may hold an old one;
+// the holder refuses older generations.
+func (w *Watcher) finish(entry teaseltack.Entry, err error, age, rest time.Duration) {
 	now := w.cfg.Timers.Now()
 	w.mu.Lock()
 	w.busy = false
@@ -166,7 +180,7 @@
 	if err != nil {
 		return
 	}
-	w.adopt(entry, now.Sub(started))
+	w.adopt(entry, age)
 }
 
 func (w *Watcher) adopt(entry teaseltack.Entry, age time.Duration) {
--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -48,7 +48,7 @@
 func (Table) commands() []command {
 	return []command{
 		daemonCommand, checkCommand, policyCommand, serverCommand, statusCommand,
-		demoCommand, platformCommand, backendCommand, loadCommand, measureCommand,
+		demoCommand, platformCommand, backendCommand, loadCommand, measureCommand, slopesCommand,
 	}
 }
 
--- /dev/null
+++ b/io/daemon/daemon_test.go
@@ -0,0 +1,119 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"teaseltack"
+	"teaseltack/io/clock"
+	"teaseltack/io/config"
+	"teaseltack/io/daemon"
+	"teaseltack/io/sample"
+)
+
+const waitTime = 30 * time.Second
+
+// startHost runs a daemon without a platform and, if named, a backend server.
+func startHost(tb testing.TB, name, service string, peers ...string) (*daemon.Daemon, *sample.Backend) {
+	tb.Helper()
+	const free = "127.0.0.1:0"
+	settings, err := config.Parse(name, fmt.Appendf(nil, `{"host": %q, "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": 5}`, name, free, free, free, free))
+	assert.NilError(tb, err)
+	settings.Peers = peers
+	d, err := daemon.New(settings, hclog.NewNullLogger())
+	assert.NilError(tb, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- d.Run(ctx, context.Background()) }()
+	tb.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	if service == "" {
+		return d, nil
+	}
+	b, err := sample.New(sample.Config{
+		Timers: clock.Clock{}, Log: hclog.NewNullLogger(), Service: teaseltack.Service(service), Address: free,
+		Inner: d.InnerAddress(), Slots: 64, Connections: 512, Announce: time.Second,
+	})
+	assert.NilError(tb, err)
+	backendCtx, cancelBackend := context.WithCancel(context.Background())
+	go func() { _ = b.Run(backendCtx) }()
+	tb.Cleanup(cancelBackend)
+	return d, b
+}
+
+func call(client *http.Client, url string) (int, string) {
+	response, err := client.Post(url, "text/plain", strings.NewReader("body"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+func awaitAnswer(tb testing.TB, url string) {
+	tb.Helper()
+	end := time.Now().Add(waitTime)
+	for {
+		status, text := call(http.DefaultClient, url)
+		if status == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			tb.Fatalf("%s answers %d %s", url, status, text)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// With neither a platform nor a peer, a daemon serves its own server.
+func TestServesItsOwnServerAlone(t *testing.T) {
+	d, _ := startHost(t, "alone", "till")
+	awaitAnswer(t, "http://"+d.OuterAddress()+"/till/check")
+}
+
+// Added latency of the path through entry and home, beside a direct call to the
+// same server.
+func BenchmarkAddedLatency(b *testing.B) {
+	home, backend := startHost(b, "home", "till")
+	entry, _ := startHost(b, "entry", "", home.PeerAddress())
+	through := "http://" + entry.OuterAddress() + "/till/check"
+	direct := "http://" + backend.Address() + "/check"
+	awaitAnswer(b, through)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	var directTimes, throughTimes []time.Duration
+	for b.Loop() {
+		directTimes = append(directTimes, timed(client, direct))
+		throughTimes = append(throughTimes, timed(client, through))
+	}
+	for _, quantile := range []float64{50, 99} {
+		added := at(throughTimes, quantile) - at(directTimes, quantile)
+		b.ReportMetric(float64(added.Microseconds()), fmt.Sprintf("added-µs-p%.0f", quantile))
+	}
+	b.ReportMetric(float64(at(directTimes, 99).Microseconds()), "direct-µs-p99")
+}
+
+func timed(client *http.Client, url string) time.Duration {
+	started := time.Now()
+	call(client, url)
+	return time.Since(started)
+}
+
+func at(times []time.Duration, quantile float64) time.Duration {
+	slices.Sort(times)
+	return times[min(int(float64(len(times))*quantile/100), len(times)-1)]
+}
--- /dev/null
+++ b/io/slope/slope.go
@@ -0,0 +1,375 @@
+// Package slope measures what control costs as the number of daemons grows: the
+// control parts of many daemons run in one process on an overlay that counts the
+// bytes of the real messages.
+package slope
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	peerv1 "teaseltack/gen/teaseltack/peer/v1"
+	platformv1 "teaseltack/gen/teaseltack/platform/v1"
+
+	"teaseltack"
+	"teaseltack/core/change"
+	"teaseltack/core/force"
+	"teaseltack/core/member"
+	"teaseltack/core/mesh"
+	"teaseltack/core/policy"
+	"teaseltack/core/watch"
+	"teaseltack/io/clock"
+	"teaseltack/io/random"
+	"teaseltack/io/stand"
+	"teaseltack/io/wire"
+)
+
+const (
+	settleTime  = 6 * time.Second
+	idleTime    = 8 * time.Second
+	churnTime   = 8 * time.Second
+	changeWait  = 13 * time.Second
+	dataCentres = 5
+	policyCount = 500
+	churnPerS   = 1
+)
+
+// Config sets up a measurement.
+type Config struct {
+	Out   io.Writer
+	Sizes []int
+}
+
+// Point is the result for one number of daemons.
+type Point struct {
+	Daemons           int     `json:"daemons"`
+	IdleBytesPerS     float64 `json:"idle-bytes-per-s"`
+	ChurnBytesPerS    float64 `json:"churn-bytes-per-s"`
+	ChangeBytes       float64 `json:"change-bytes"`
+	CPUShare          float64 `json:"cpu-share"`
+	BytesPerRecord    float64 `json:"memory-bytes-per-record"`
+	InForceP50S       float64 `json:"in-force-p50-s"`
+	InForceMaxS       float64 `json:"in-force-max-s"`
+	PlatformIdlePerS  float64 `json:"platform-idle-calls-per-s"`
+	PlatformPerChange float64 `json:"platform-calls-per-change"`
+}
+
+// Slope runs the measurement.
+type Slope struct {
+	cfg Config
+}
+
+// New returns a measurement.
+func New(cfg Config) *Slope {
+	return &Slope{cfg: cfg}
+}
+
+// Run measures each size and prints a table.
+func (s *Slope) Run(ctx context.Context) []Point {
+	overhead, err := callOverhead(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintf(s.cfg.Out, "measuring the overhead of a call: %v\n", err)
+		return nil
+	}
+	_, _ = fmt.Fprintf(s.cfg.Out, "a control call takes %d bytes beside its messages\n", overhead)
+	table := tabwriter.NewWriter(s.cfg.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "daemons\tidle B/s\tchurn B/s\tB per change\tCPU share\tB per record\tin force p50 s\tmax s\tplatform calls/s\tper change\t")
+	var points []Point
+	for _, size := range s.cfg.Sizes {
+		if ctx.Err() != nil {
+			break
+		}
+		p := measure(ctx, size, overhead)
+		points = append(points, p)
+		_, _ = fmt.Fprintf(table, "%d\t%.0f\t%.0f\t%.0f\t%.4f\t%.0f\t%.3f\t%.3f\t%.1f\t%.1f\t\n", p.Daemons, p.IdleBytesPerS, p.ChurnBytesPerS, p.ChangeBytes,
+			p.CPUShare, p.BytesPerRecord, p.InForceP50S, p.InForceMaxS, p.PlatformIdlePerS, p.PlatformPerChange)
+		_ = table.Flush()
+	}
+	return points
+}
+
+// node is the control part of one daemon.
+type node struct {
+	members *member.Table
+	holder  *force.Holder
+	mesh    *mesh.Mesh
+	watcher *watch.Watcher
+	inForce atomic.Int64
+}
+
+// fleet is many nodes on one counting overlay.
+type fleet struct {
+	platform *stand.Stand
+	mu       sync.RWMutex
+	nodes    map[string]*node
+	bytes    atomic.Int64
+	// overhead is the bytes beside the messages of one call.
+	overhead int
+	codec    wire.Codec
+	source   *random.Source
+}
+
+func measure(ctx context.Context, size, overhead int) Point {
+	before := heapBytes()
+	f := newFleet(size, overhead)
+	defer f.close()
+	time.Sleep(settleTime)
+	p := Point{Daemons: size}
+	p.BytesPerRecord = float64(heapBytes()-before) / float64(size) / float64(size)
+	p.IdleBytesPerS, p.CPUShare, p.PlatformIdlePerS = f.watch(idleTime, size, func() {})
+	f.change(ctx, size, &p)
+	p.ChurnBytesPerS, _, _ = f.watch(churnTime, size, f.churn)
+	return p
+}
+
+func newFleet(size, overhead int) *fleet {
+	f := &fleet{overhead: overhead, platform: stand.New(stand.Config{Timers: clock.Clock{}}), nodes: map[string]*node{}, source: random.Seeded(1)}
+	records := make([]teaseltack.Record, size)
+	for i := range records {
+		records[i] = teaseltack.Record{
+			Host: teaseltack.HostID(fmt.Sprintf("host-%d", i)), Version: 1, Incarnation: 1, Serving: teaseltack.Ready,
+			DataCentre: teaseltack.DataCentre(fmt.Sprintf("dc-%d", i%dataCentres)), Region: "region",
+			PeerAddress: fmt.Sprintf("10.0.%d.%d:7003", i/250, i%250), Service: teaseltack.Service(fmt.Sprintf("service-%d", i%50)),
+			Slots: 100, Connections: 800,
+		}
+	}
+	for _, r := range records {
+		f.add(r, records)
+	}
+	return f
+}
+
+func (f *fleet) add(own teaseltack.Record, known []teaseltack.Record) {
+	timers := clock.Clock{}
+	n := &node{}
+	n.members = member.New(member.Config{Timers: timers, Own: own})
+	n.members.Merge(known)
+	n.holder = force.New(force.Config{Timers: timers, Changed: func(*operatorv1.Document) {
+		n.inForce.Store(time.Now().UnixNano())
+		if n.mesh != nil {
+			n.mesh.Spread()
+		}
+	}})
+	adopt := func(d *operatorv1.Document) { n.holder.Adopt(d) }
+	n.mesh = mesh.New(mesh.Config{
+		Timers: timers, Source: f.source, Members: n.members, Overlay: f, Seeds: func() []string { return nil },
+		Generation: n.holder.Generation, Heard: n.holder.Confirm, Adopt: adopt, Cut: func(teaseltack.DataCentre, bool) {},
+	})
+	n.watcher = watch.New(watch.Config{Timers: timers, Source: f.source, Store: store{f.platform}, Members: n.members, Holder: n.holder, Adopt: adopt})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[own.PeerAddress] = n
+}
+
+func (f *fleet) close() {
+	for _, n := range f.list() {
+		n.mesh.Close()
+		n.watcher.Close()
+	}
+}
+
+func (f *fleet) list() []*node {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	nodes := make([]*node, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// watch counts bytes per second and daemon, CPU per daemon and platform calls
+// per second while each runs once a second.
+func (f *fleet) watch(length time.Duration, size int, each func()) (bytesPerS, cpuShare, platformPerS float64) {
+	bytes, cpu, calls := f.bytes.Load(), cpuTime(), f.calls()
+	started := time.Now()
+	for time.Since(started) < length {
+		each()
+		time.Sleep(time.Second)
+	}
+	seconds := time.Since(started).Seconds()
+	bytesPerS = float64(f.bytes.Load()-bytes) / seconds / float64(size)
+	cpuShare = (cpuTime() - cpu).Seconds() / seconds / float64(size)
+	platformPerS = float64(f.calls()-calls) / seconds
+	return bytesPerS, cpuShare, platformPerS
+}
+
+func (f *fleet) calls() int {
+	total := 0
+	for _, n := range f.platform.Calls() {
+		total += n
+	}
+	return total
+}
+
+// change writes a document of policyCount policies and one change to it, and
+// times when the change is in force at each node.
+func (f *fleet) change(ctx context.Context, size int, p *Point) {
+	changer := change.New(change.Config{Timers: clock.Clock{}, Store: store{f.platform}, Adopt: func(*operatorv1.Document) {}})
+	step := policy.Step{ChangeID: "first", Who: "slopes"}
+	for i := range policyCount {
+		step.Set = append(step.Set, &operatorv1.Policy{Service: fmt.Sprintf("service-%d", i/10), Method: fmt.Sprintf("method-%d", i%10), Class: "normal", LifetimeMs: 1000})
+	}
+	changer.Apply(ctx, step, 0, false)
+	f.awaitGeneration(1)
+	time.Sleep(settleTime / 2)
+	idle := f.bytes.Load()
+	calls := f.calls()
+	started := time.Now()
+	changer.Apply(ctx, policy.Step{ChangeID: "second", Who: "slopes", Set: step.Set[:1]}, 0, false)
+	accepted := time.Now()
+	f.awaitGeneration(2)
+	took := time.Since(started).Seconds()
+	p.ChangeBytes = float64(f.bytes.Load()-idle)/float64(size) - p.IdleBytesPerS*took
+	p.PlatformPerChange = float64(f.calls() - calls)
+	var times []float64
+	for _, n := range f.list() {
+		times = append(times, max(time.Unix(0, n.inForce.Load()).Sub(accepted).Seconds(), 0))
+	}
+	slices.Sort(times)
+	p.InForceP50S, p.InForceMaxS = times[len(times)/2], times[len(times)-1]
+}
+
+func (f *fleet) awaitGeneration(generation teaseltack.Generation) {
+	end := time.Now().Add(changeWait)
+	for _, n := range f.list() {
+		for time.Now().Before(end) {
+			if known, _ := n.holder.Generation(); known >= generation {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// churn restarts the announcements of churnPerS servers, as a replaced host
+// does.
+func (f *fleet) churn() {
+	nodes := f.list()
+	for range churnPerS {
+		n := nodes[f.source.Uint64()%uint64(len(nodes))]
+		n.members.UpdateOwn(func(r *teaseltack.Record) { r.Incarnation++ })
+	}
+}
+
+var _ teaseltack.Overlay = (*fleet)(nil)
+
+func (f *fleet) find(address string) (*node, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	n := f.nodes[address]
+	if n == nil {
+		return nil, fmt.Errorf("nobody at %s", address)
+	}
+	return n, nil
+}
+
+// count adds a call's bytes twice, once at each end.
+func (f *fleet) count(messages ...proto.Message) {
+	total := f.overhead
+	for _, m := range messages {
+		total += proto.Size(m)
+	}
+	f.bytes.Add(int64(2 * total))
+}
+
+// Exchange passes a control message on and counts it.
+func (f *fleet) Exchange(_ context.Context, address string, m teaseltack.Exchange) (teaseltack.Exchange, error) {
+	n, err := f.find(address)
+	if err != nil {
+		return teaseltack.Exchange{}, err
+	}
+	answer := n.mesh.Receive(m)
+	f.count(
+		&peerv1.ExchangeRequest{FromHost: string(m.From), ToHost: string(m.To), FromAddress: m.FromAddress, Digest: m.Digest, Generation: uint64(m.Generation), FreshAgeMs: m.FreshAge.Milliseconds(), Changed: f.codec.RecordsOut(m.Changed)},
+		&peerv1.ExchangeResponse{Digest: answer.Digest, Generation: uint64(answer.Generation), Buckets: answer.Buckets, Changed: f.codec.RecordsOut(answer.Changed), FreshAgeMs: answer.FreshAge.Milliseconds()},
+	)
+	return answer, nil
+}
+
+// Pull swaps records and counts them.
+func (f *fleet) Pull(_ context.Context, address string, buckets []uint32, records []teaseltack.Record) ([]teaseltack.Record, error) {
+	n, err := f.find(address)
+	if err != nil {
+		return nil, err
+	}
+	answer := n.members.InBuckets(buckets)
+	n.members.Merge(records)
+	f.count(&peerv1.PullRequest{Buckets: buckets, Records: f.codec.RecordsOut(records)}, &peerv1.PullResponse{Records: f.codec.RecordsOut(answer)})
+	return answer, nil
+}
+
+// FetchDocument returns a newer document and counts it.
+func (f *fleet) FetchDocument(_ context.Context, address string, above teaseltack.Generation) (*operatorv1.Document, error) {
+	n, err := f.find(address)
+	if err != nil {
+		return nil, err
+	}
+	document := n.holder.Document()
+	if document.GetGeneration() <= uint64(above) {
+		document = nil
+	}
+	f.count(&peerv1.FetchDocumentRequest{AboveGeneration: uint64(above)}, &peerv1.FetchDocumentResponse{Document: document})
+	return document, nil
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// store calls the stand-in platform without a network.
+type store struct {
+	platform *stand.Stand
+}
+
+var _ teaseltack.KeyValue = store{}
+
+// Get implements teaseltack.KeyValue.
+func (s store) Get(ctx context.Context, key string) (teaseltack.Entry, error) {
+	r, err := s.platform.Get(ctx, connect.NewRequest(&platformv1.GetRequest{Key: key}))
+	if err != nil {
+		return teaseltack.Entry{}, err
+	}
+	return teaseltack.Entry{Value: r.Msg.Value, Revision: r.Msg.Revision}, nil
+}
+
+// Swap implements teaseltack.KeyValue.
+func (s store) Swap(ctx context.Context, key string, value []byte, expected uint64, lease time.Duration) (teaseltack.Entry, error) {
+	r, err := s.platform.Swap(ctx, connect.NewRequest(&platformv1.SwapRequest{Key: key, Value: value, ExpectedRevision: expected, LeaseMs: lease.Milliseconds()}))
+	if err != nil {
+		return teaseltack.Entry{}, err
+	}
+	return teaseltack.Entry{Value: r.Msg.Value, Revision: r.Msg.Revision, Swapped: r.Msg.Swapped}, nil
+}
+
+// Watch implements teaseltack.KeyValue.
+func (s store) Watch(ctx context.Context, key string, known uint64, wait time.Duration) (teaseltack.Entry, error) {
+	r, err := s.platform.Watch(ctx, connect.NewRequest(&platformv1.WatchRequest{Key: key, KnownRevision: known, WaitMs: wait.Milliseconds()}))
+	if err != nil {
+		return teaseltack.Entry{}, err
+	}
+	if !r.Msg.Changed {
+		return teaseltack.Entry{Revision: known}, nil
+	}
+	return teaseltack.Entry{Value: r.Msg.Value, Revision: r.Msg.Revision}, nil
+}
--- /dev/null
+++ b/io/slope/wire.go
@@ -0,0 +1,101 @@
+package slope
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"teaseltack"
+	peerv1 "teaseltack/gen/teaseltack/peer/v1"
+	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
+	"teaseltack/io/clock"
+	"teaseltack/io/dial"
+	"teaseltack/io/front"
+)
+
+const (
+	// packetOverhead is the TCP and IP headers of the four packets of a call.
+	packetOverhead = 4 * 52
+	wireCalls      = 300
+)
+
+// echo answers exchanges with empty messages.
+type echo struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+}
+
+// Exchange answers at once.
+func (echo) Exchange(context.Context, *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	return connect.NewResponse(&peerv1.ExchangeResponse{}), nil
+}
+
+// callOverhead measures the bytes beside the messages that one control call and
+// its answer take on a kept connection of the real protocol on loopback.
+func callOverhead(ctx context.Context) (int, error) {
+	server, err := front.Listen(front.Config{Name: "peer door", Address: "127.0.0.1:0"})
+	if err != nil {
+		return 0, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(echo{}))
+	server.Handle(mux)
+	go func() { _ = server.Serve() }()
+	closed, cancel := context.WithCancel(context.Background())
+	cancel()
+	defer func() { _ = server.Shutdown(closed) }()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer listener.Close()
+	var bytes atomic.Int64
+	go relay(listener, server.Address(), &bytes)
+	client := dial.New(dial.Config{Timers: clock.Clock{}, MaxMessageBytes: 1 << 20})
+	message := teaseltack.Exchange{From: "host-1", To: "host-2", FromAddress: "10.0.0.1:7003", Digest: 1 << 60, Generation: 7}
+	size := proto.Size(&peerv1.ExchangeRequest{FromHost: "host-1", ToHost: "host-2", FromAddress: "10.0.0.1:7003", Digest: 1 << 60, Generation: 7})
+	for range wireCalls {
+		if _, err := client.Exchange(ctx, listener.Addr().String(), message); err != nil {
+			return 0, err
+		}
+	}
+	return int(bytes.Load())/wireCalls - size + packetOverhead, nil
+}
+
+// relay passes connections on and counts the bytes of both ways.
+func relay(listener net.Listener, target string, bytes *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		onward, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		go pass(onward, conn, bytes)
+		go pass(conn, onward, bytes)
+	}
+}
+
+func pass(to io.WriteCloser, from io.Reader, bytes *atomic.Int64) {
+	defer to.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		bytes.Add(int64(n))
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
