--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -51,26 +51,48 @@
 	limit    *limit.Limit
 	lanes    map[teaseltack.Method]*lane
 	inFlight int
-	stop     func()
+	// sweeping is set while the next sweep is subscribed; a gate without waiters
+	// and levels needs none.
+	sweeping bool
+	closed   bool
 }
 
 var _ teaseltack.Gate = (*Gate)(nil)
 
-// New returns a gate that subscribes to the timers until Close.
+// New returns a gate that subscribes to the timers, while calls wait, until
+// Close.
 func New(cfg Config) *Gate {
-	g := &Gate{
+	return &Gate{
 		timers:  cfg.Timers,
 		maxWait: cfg.MaxWait,
 		limit:   limit.New(cfg.Slots, cfg.Connections),
 		lanes:   map[teaseltack.Method]*lane{},
 	}
-	g.stop = cfg.Timers.Every(sweepPeriod, g.sweep)
-	return g
 }
 
 // Close ends the subscription to the timers.
 func (g *Gate) Close() {
-	g.stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// sweepSoon subscribes the next sweep if one is needed.
+func (g *Gate) sweepSoon() {
+	if g.sweeping || g.closed || g.quiet() {
+		return
+	}
+	g.sweeping = true
+	g.timers.After(sweepPeriod, g.sweep)
+}
+
+func (g *Gate) quiet() bool {
+	for _, l := range g.lanes {
+		if l.queue.Len() > 0 || !l.advice.Quiet() {
+			return false
+		}
+	}
+	return true
 }
 
 // decision is a waiter's fate, told after the lock is released.
@@ -110,9 +132,11 @@
 	w.Arrived = now
 	w.Index = -1
 	l := g.lane(w.Method)
+	l.advice.Advance(now)
 	l.advice.Offered(w.Priority)
 	decisions := g.offer(l, w, now)
 	decisions = append(decisions, g.fill(now)...)
+	g.sweepSoon()
 	g.mu.Unlock()
 	tell(decisions)
 }
@@ -298,6 +322,8 @@
 	for _, l := range g.lanes {
 		l.advice.Advance(now)
 	}
+	g.sweeping = false
+	g.sweepSoon()
 	g.mu.Unlock()
 	tell(decisions)
 }
--- a/core/level/level.go
+++ b/core/level/level.go
@@ -7,6 +7,7 @@
 package level
 
 import (
+	"math"
 	"time"
 
 	"teaseltack"
@@ -84,11 +85,17 @@
 	return a.level
 }
 
+// Quiet reports whether the level needs no adjustment until the next call.
+func (a *Advice) Quiet() bool {
+	return a.level == 0 && a.refused == 0 && a.late == 0
+}
+
 // Advance adjusts the level at the end of a window.
 func (a *Advice) Advance(now time.Time) {
 	if now.Before(a.windowEnd) {
 		return
 	}
+	windows := 1 + now.Sub(a.windowEnd)/window
 	a.windowEnd = now.Add(window)
 	if a.overloaded() {
 		a.lasting++
@@ -103,10 +110,11 @@
 	case a.lasting == 0:
 		a.lower()
 	}
+	kept := math.Pow(memory, float64(windows))
 	for i := range a.offered {
-		a.offered[i] *= memory
+		a.offered[i] *= kept
 	}
-	a.completed *= memory
+	a.completed *= kept
 	a.refused, a.late, a.waiters = 0, 0, 0
 }
 
