--- a/core/entry/chain_test.go
+++ b/core/entry/chain_test.go
@@ -68,7 +68,7 @@
 	for i := range depth {
 		services[teaseltack.Service(fmt.Sprintf("s%d", i))] = 2
 	}
-	f := newFakeFleet(1, services)
+	f := newFakeFleet(services)
 	for i := range depth {
 		t := target(fmt.Sprintf("s%d", i), "do")
 		f.addPolicy(t, teaseltack.ClassNormal, false, retries)
@@ -80,7 +80,7 @@
 			f.nested[above] = append(f.nested[above], t)
 		}
 	}
-	f.addHost(100, "gateway", 0)
+	f.addHost("gateway", 0)
 	f.tellHomes()
 	last := f.order[len(f.order)-1]
 	f.order[0], f.order[len(f.order)-1] = last, f.order[0]
@@ -90,7 +90,7 @@
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(inBubble{t}, func(r *rapid.T) {
-			f := newFakeFleet(1, map[teaseltack.Service]int{"till": 3, "gateway": 3})
+			f := newFakeFleet(map[teaseltack.Service]int{"till": 3, "gateway": 3})
 			defer f.stop()
 			pay := target("till", "pay")
 			f.addPolicy(pay, teaseltack.ClassProtected, true, 3)
@@ -152,7 +152,7 @@
 func TestNotRunIsTrueAndAnswersAreOnesOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(inBubble{t}, func(r *rapid.T) {
-			f := newFakeFleet(1, map[teaseltack.Service]int{"orders": 2, "gateway": 2})
+			f := newFakeFleet(map[teaseltack.Service]int{"orders": 2, "gateway": 2})
 			defer f.stop()
 			look, post := target("orders", "look-up"), target("orders", "post")
 			f.addPolicy(look, teaseltack.ClassNormal, false, 2)
@@ -200,7 +200,7 @@
 
 func TestFrozenHomeDoesNotRunAnExpiredTicket(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(1, map[teaseltack.Service]int{"till": 1, "gateway": 1})
+		f := newFakeFleet(map[teaseltack.Service]int{"till": 1, "gateway": 1})
 		defer f.stop()
 		pay := target("till", "pay")
 		f.addPolicy(pay, teaseltack.ClassProtected, true, 0)
@@ -217,7 +217,7 @@
 
 func TestLeavingHomeRefusesStaleEntriesAndTickets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFakeFleet(1, map[teaseltack.Service]int{"till": 1, "gateway": 1})
+		f := newFakeFleet(map[teaseltack.Service]int{"till": 1, "gateway": 1})
 		defer f.stop()
 		pay := target("till", "pay")
 		f.addPolicy(pay, teaseltack.ClassProtected, true, 0)
@@ -250,8 +250,10 @@
 		}()
 		time.Sleep(350 * time.Millisecond)
 		cancel()
+		left := time.Now()
 		<-done
 		synctest.Wait()
+		assert.Assert(t, time.Since(left) < 10*time.Millisecond, "the chain worked on for %v", time.Since(left))
 		for _, h := range f.order {
 			assert.Equal(t, h.home.InFlight(), 0, "work goes on at %s", h.record.Host)
 		}
@@ -268,7 +270,7 @@
 	for name, lie := range lies {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFakeFleet(1, map[teaseltack.Service]int{"orders": 1, "gateway": 1})
+				f := newFakeFleet(map[teaseltack.Service]int{"orders": 1, "gateway": 1})
 				defer f.stop()
 				f.addPolicy(look, teaseltack.ClassNormal, false, 2)
 				answer := f.hosts["gateway-0"].entry.Serve(context.Background(), &lie)
--- a/core/entry/rig_test.go
+++ b/core/entry/rig_test.go
@@ -73,7 +73,7 @@
 	ticketTime   = 30 * time.Second
 )
 
-func newFakeFleet(seed byte, services map[teaseltack.Service]int) *fakeFleet {
+func newFakeFleet(services map[teaseltack.Service]int) *fakeFleet {
 	f := &fakeFleet{
 		hosts:    map[teaseltack.HostID]*fakeHost{},
 		policies: map[teaseltack.Target]teaseltack.Policy{},
@@ -85,15 +85,15 @@
 	}
 	for name, count := range services {
 		for i := range count {
-			f.addHost(seed, name, i)
+			f.addHost(name, i)
 		}
 	}
 	f.tellHomes()
 	return f
 }
 
-func (f *fakeFleet) addHost(seed byte, service teaseltack.Service, i int) {
-	h := &fakeHost{fleet: f, work: 5 * time.Millisecond, source: random.Seeded(seed + byte(len(f.order)))}
+func (f *fakeFleet) addHost(service teaseltack.Service, i int) {
+	h := &fakeHost{fleet: f, work: 5 * time.Millisecond, source: random.Seeded(byte(len(f.order)))}
 	h.record = teaseltack.Record{
 		Host: teaseltack.HostID(fmt.Sprintf("%s-%d", service, i)), Service: service, Serving: teaseltack.Ready, Slots: 4, Connections: 8,
 	}
@@ -199,6 +199,7 @@
 	if t == swapAnswer {
 		other := *answer
 		other.Nonce = "of another call"
+		other.Body = []byte("for another caller")
 		return &other, nil
 	}
 	return answer, nil
--- a/core/force/force_test.go
+++ b/core/force/force_test.go
@@ -35,12 +35,12 @@
 
 func TestDefaultPolicyOnlyBeforeTheFirstDocument(t *testing.T) {
 	h := newHolder()
-	any := teaseltack.Target{Service: "s", Method: "m"}
-	policy, ok := h.Policy(any)
+	target := teaseltack.Target{Service: "s", Method: "m"}
+	policy, ok := h.Policy(target)
 	assert.Assert(t, ok)
 	assert.Assert(t, policy.NonIdempotent, "the default has to be the careful one")
 	h.Adopt(&operatorv1.Document{Generation: 1})
-	_, ok = h.Policy(any)
+	_, ok = h.Policy(target)
 	assert.Assert(t, !ok)
 }
 
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -63,9 +63,11 @@
 	viewed     uint64
 	onDuty     bool
 	population int
-	stop       func()
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// stale is set while the generation is unconfirmed for too long.
+	stale  bool
+	stop   func()
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a watcher that subscribes to the timers until Close.
@@ -107,18 +109,24 @@
 		go w.watch()
 		return
 	}
-	if age >= staleAfter {
-		w.busy = true
-		w.notBefore = now.Add(w.rest(w.population))
-		go w.read()
+	if age < staleAfter {
+		w.stale = false
+		return
+	}
+	if !w.stale {
+		w.stale = true
+		w.notBefore = now.Add(w.spread(time.Duration(w.population) * readGap))
+		return
 	}
+	w.busy = true
+	w.notBefore = now.Add(leastRest + w.spread(time.Duration(w.population)*readGap))
+	go w.read()
 }
 
-// rest spreads the reads of a data centre, so that their rate does not depend
-// on its number of daemons.
-func (w *Watcher) rest(population int) time.Duration {
-	mean := max(leastRest, time.Duration(population)*readGap)
-	return mean/2 + time.Duration(w.cfg.Source.Uint64()%uint64(mean))
+// spread draws a time up to the span. Spans that grow with the number of daemons
+// keep the rate of their reads; the first reader's news reaches the others.
+func (w *Watcher) spread(span time.Duration) time.Duration {
+	return time.Duration(w.cfg.Source.Uint64() % uint64(max(span, 1)))
 }
 
 // duty reports whether this daemon is among the watchers of its view, and how
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -57,7 +58,9 @@
 	assert.NilError(t, os.WriteFile(path, []byte("{\n\"hots\": \"a\"\n}"), 0o600))
 	output, err := exec.Command(program, "daemon", "--settings", path).CombinedOutput()
 	assert.Assert(t, err != nil)
-	assert.Equal(t, err.(*exec.ExitError).ExitCode(), 2)
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(err, &exit))
+	assert.Equal(t, exit.ExitCode(), 2)
 	assert.Assert(t, strings.Contains(string(output), ":2:1: hots is an unknown key"), "%s", output)
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		panic(err)
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	program = filepath.Join(folder, "teaseltack")
 	build := exec.Command("go", "build", "-o", program, "teaseltack/cmd/teaseltack")
 	if output, err := build.CombinedOutput(); err != nil {
@@ -183,7 +183,7 @@
 }
 
 // addDaemon starts a daemon that knows the earlier ones.
-func (f *fleet) addDaemon(host, dataCentre, more string) *daemon {
+func (f *fleet) addDaemon(host, dataCentre, more string) {
 	f.t.Helper()
 	d := &daemon{t: f.t, host: host, outer: freeAddress(f.t), inner: freeAddress(f.t), peer: freeAddress(f.t), operators: freeAddress(f.t)}
 	var peers []string
@@ -196,7 +196,6 @@
 	assert.NilError(f.t, os.WriteFile(d.settings, []byte(text), 0o600))
 	f.daemons = append(f.daemons, d)
 	d.begin()
-	return d
 }
 
 func (d *daemon) begin() {
@@ -207,13 +206,12 @@
 
 // addBackend starts a backend server beside a daemon and waits until all
 // daemons know it.
-func (f *fleet) addBackend(d *daemon, service string, more ...string) *process {
+func (f *fleet) addBackend(d *daemon, service string, more ...string) {
 	f.t.Helper()
 	arguments := append([]string{"backend", "--service", service, "--inner", d.inner, "--log-runs"}, more...)
 	p := start(f.t, arguments...)
 	f.backends = append(f.backends, p)
 	f.awaitServing(d.host, "ready")
-	return p
 }
 
 // awaitServing waits until every daemon sees the host's server in the state.
--- a/io/back/back_test.go
+++ b/io/back/back_test.go
@@ -36,7 +36,7 @@
 }
 
 func serveRaw(conn net.Conn, answer func(net.Conn, *http.Request) bool) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -52,7 +52,7 @@
 	return s
 }
 
-func dispatch(s *back.Server, verb, key string, lifetime time.Duration) (*teaseltack.Answer, error) {
+func dispatch(s *back.Server, verb, key string, lifetime time.Duration) error {
 	call := &teaseltack.Call{ID: "a", Target: teaseltack.Target{Service: "s", Method: "m"}, Deadline: time.Now().Add(lifetime)}
 	call.Payload.Verb = verb
 	if key != "" {
@@ -60,7 +60,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lifetime)
 	defer cancel()
-	return s.Dispatch(ctx, call, "token")
+	_, err := s.Dispatch(ctx, call, "token")
+	return err
 }
 
 const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -82,9 +83,9 @@
 				return err == nil
 			})
 			s := newServer(address)
-			_, err := dispatch(s, test.verb, test.key, 5*time.Second)
+			err := dispatch(s, test.verb, test.key, 5*time.Second)
 			assert.NilError(t, err)
-			_, err = dispatch(s, test.verb, test.key, 5*time.Second)
+			err = dispatch(s, test.verb, test.key, 5*time.Second)
 			assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.MayHaveRun)
 			assert.Equal(t, seen.Load(), int32(2), "the request was sent again")
 		})
@@ -114,7 +115,7 @@
 		"too large":          {serve("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + string(make([]byte, 101))), teaseltack.Ran, teaseltack.ReasonTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := dispatch(newServer(test.address), http.MethodPost, "", 5*time.Second)
+			err := dispatch(newServer(test.address), http.MethodPost, "", 5*time.Second)
 			refusal := teaseltack.AsRefusal(err)
 			assert.Equal(t, refusal.Verdict, test.verdict)
 			assert.Equal(t, refusal.Reason, test.reason)
@@ -134,10 +135,10 @@
 		return err == nil
 	})
 	s := newServer(address)
-	_, err := dispatch(s, http.MethodPost, "", 5*time.Second)
+	err := dispatch(s, http.MethodPost, "", 5*time.Second)
 	assert.NilError(t, err)
-	_, err = dispatch(s, http.MethodPost, "", 100*time.Millisecond)
+	err = dispatch(s, http.MethodPost, "", 100*time.Millisecond)
 	assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.MayHaveRun)
-	_, err = dispatch(s, http.MethodPost, "", 5*time.Second)
+	err = dispatch(s, http.MethodPost, "", 5*time.Second)
 	assert.NilError(t, err)
 }
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -36,7 +36,7 @@
 	go func() { done <- d.Run(ctx, context.Background()) }()
 	tb.Cleanup(func() {
 		cancel()
-		<-done
+		assert.Check(tb, <-done)
 	})
 	if service == "" {
 		return d, nil
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -121,10 +121,11 @@
 	}
 }
 
-func forward(c *dial.Client, address string, lifetime time.Duration) (*teaseltack.Answer, error) {
+func forward(c *dial.Client, address string, lifetime time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), lifetime)
 	defer cancel()
-	return c.Forward(ctx, teaseltack.Record{Host: "h", PeerAddress: address}, &teaseltack.Call{ID: "a", Nonce: "n", Deadline: time.Now().Add(lifetime)})
+	_, err := c.Forward(ctx, teaseltack.Record{Host: "h", PeerAddress: address}, &teaseltack.Call{ID: "a", Nonce: "n", Deadline: time.Now().Add(lifetime)})
+	return err
 }
 
 func newClient(key auth.Key) *dial.Client {
@@ -144,14 +145,14 @@
 			_, address := startHome(t, "")
 			r := startRelay(t, address)
 			c := newClient("")
-			_, err := forward(c, r.listener.Addr().String(), 5*time.Second)
+			err := forward(c, r.listener.Addr().String(), 5*time.Second)
 			assert.NilError(t, err)
 			r.silence(test.there, test.back)
-			_, err = forward(c, r.listener.Addr().String(), 30*time.Second)
+			err = forward(c, r.listener.Addr().String(), 30*time.Second)
 			refusal := teaseltack.AsRefusal(err)
 			assert.Equal(t, refusal.Verdict, teaseltack.MayHaveRun)
 			assert.Equal(t, refusal.Reason, teaseltack.ReasonConnection, "the pings did not drop the connection")
-			_, err = forward(c, r.listener.Addr().String(), 5*time.Second)
+			err = forward(c, r.listener.Addr().String(), 5*time.Second)
 			assert.NilError(t, err)
 		})
 	}
@@ -161,7 +162,7 @@
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	assert.NilError(t, closed.Close())
-	_, err = forward(newClient(""), closed.Addr().String(), time.Second)
+	err = forward(newClient(""), closed.Addr().String(), time.Second)
 	assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.NotRun)
 }
 
@@ -176,7 +177,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h, address := startHome(t, "secret")
-			_, err := forward(newClient(test.given), address, 5*time.Second)
+			err := forward(newClient(test.given), address, 5*time.Second)
 			assert.Equal(t, h.calls.Load(), test.calls)
 			if test.calls == 0 {
 				assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.NotRun)
--- a/io/slope/wire.go
+++ b/io/slope/wire.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	var bytes atomic.Int64
 	go relay(listener, server.Address(), &bytes)
 	client := dial.New(dial.Config{Timers: clock.Clock{}, MaxMessageBytes: 1 << 20})
