Lock what the mesh's and the gate's tests share with the timers

Cause: go test -race reported races, all between a test and its own callbacks; the packages themselves showed none (core/entry, change, member, press, route and io). Ruled out: races in the decisions, by those runs. Change: the mesh test's cuts and the gate test's decisions are behind locks. Before: races in two tests. After: none in core/mesh; core/admit's test still reads its own visits after a sleep in the bubble, which the detector does not order.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,13 +19,16 @@
 // time does not tell.
 type inBubble struct{ *testing.T }
 
+var decisions sync.Mutex
+
 const maxWait = 100 * time.Millisecond
 
 func newGate(slots int) *admit.Gate {
 	return admit.New(admit.Config{Timers: clock.Clock{}, Slots: slots, Connections: 8 * slots, MaxWait: maxWait})
 }
 
-// visit is one call's stay at the gate.
+// visit is one call's stay at the gate. Decisions come from the test and from
+// the timers, under one lock.
 type visit struct {
 	waiter   *teaseltack.Waiter
 	decided  int
@@ -37,6 +41,8 @@
 func offer(g *admit.Gate, p teaseltack.Priority, method teaseltack.Method, lifetime time.Duration, onDecide func(*visit)) *visit {
 	v := &visit{}
 	v.waiter = &teaseltack.Waiter{Method: method, Priority: p, Deadline: time.Now().Add(lifetime), Decide: func(r *teaseltack.Refusal) {
+		decisions.Lock()
+		defer decisions.Unlock()
 		v.decided++
 		v.refusal = r
 		v.running = r == nil
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -51,12 +51,32 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	// cut reports whether messages from one to the other are lost.
-	cut   func(from, to *node) bool
-	store *fakeStore
+	cut func(from, to *node) bool
+	// silent reports whether calls of a node to the platform get no answer.
+	silent func(*node) bool
+	store  *fakeStore
+}
+
+func (f *fleet) setCut(cut func(from, to *node) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+func (f *fleet) setSilent(silent func(*node) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
+func (f *fleet) isSilent(n *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent(n)
 }
 
 func newFleet(t assert.TestingT, dataCentres, each int) *fleet {
-	f := &fleet{t: t, nodes: map[string]*node{}, cut: func(_, _ *node) bool { return false }, store: &fakeStore{changed: make(chan struct{})}}
+	f := &fleet{t: t, nodes: map[string]*node{}, cut: func(_, _ *node) bool { return false }, silent: func(*node) bool { return false }, store: &fakeStore{changed: make(chan struct{})}}
 	for d := range dataCentres {
 		for i := range each {
 			f.start(fmt.Sprintf("dc%d", d), fmt.Sprintf("h%d-%d", d, i), 1)
@@ -78,25 +98,25 @@
 			panic("the generation fell")
 		}
 		n.highest = d.Generation
-		if n.mesh != nil {
-			n.mesh.Spread()
-		}
+		n.mesh.Spread()
 	}})
 	adopt := func(d *operatorv1.Document) { n.holder.Adopt(d) }
+	f.mu.Lock()
+	f.nodes[host] = n
+	f.mu.Unlock()
 	n.mesh = mesh.New(mesh.Config{
 		Timers: timers, Source: n.source, Members: n.members, Overlay: n, Seeds: func() []string { return []string{"h0-0", "h0-1"} },
 		Generation: n.holder.Generation, Heard: n.holder.Confirm, Adopt: adopt,
 		Cut: func(name teaseltack.DataCentre, cut bool) { n.cuts[name] = cut },
 	})
 	n.watcher = watch.New(watch.Config{Timers: timers, Source: n.source, Store: n, Members: n.members, Holder: n.holder, Adopt: adopt})
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.nodes[host] = n
 	return n
 }
 
 func (n *node) stop() {
+	n.fleet.mu.Lock()
 	n.dead = true
+	n.fleet.mu.Unlock()
 	n.mesh.Close()
 	n.watcher.Close()
 }
@@ -161,8 +181,6 @@
 	document []byte
 	revision uint64
 	changed  chan struct{}
-	// silent reports whether calls of a node get no answer.
-	silent func(*node) bool
 }
 
 func (s *fakeStore) write(generation uint64) {
@@ -181,7 +199,7 @@
 }
 
 func (n *node) Get(ctx context.Context, _ string) (teaseltack.Entry, error) {
-	if silent := n.fleet.store.silent; silent != nil && silent(n) {
+	if n.fleet.isSilent(n) {
 		<-ctx.Done()
 		return teaseltack.Entry{}, errCut
 	}
@@ -197,7 +215,7 @@
 	end := time.After(wait)
 	for {
 		entry, changed := n.fleet.store.read()
-		if silent := n.fleet.store.silent; silent != nil && silent(n) {
+		if n.fleet.isSilent(n) {
 			<-ctx.Done()
 			return teaseltack.Entry{}, errCut
 		}
@@ -262,10 +280,10 @@
 
 func TestDataCentreCutIsOneFactAndHeals(t *testing.T) {
 	inFleet(t, 3, 4, func(f *fleet) {
-		f.cut = func(from, to *node) bool {
+		f.setCut(func(from, to *node) bool {
 			return from.record.DataCentre != to.record.DataCentre && (from.record.DataCentre == "dc2" || to.record.DataCentre == "dc2")
-		}
-		f.store.silent = func(n *node) bool { return n.record.DataCentre == "dc2" }
+		})
+		f.setSilent(func(n *node) bool { return n.record.DataCentre == "dc2" })
 		time.Sleep(30 * time.Second)
 		f.assertKnown(12)
 		assert.Assert(t, f.nodes["h0-0"].cuts["dc2"], "the cut was not noticed")
@@ -274,8 +292,8 @@
 		time.Sleep(inForceBound)
 		assert.Equal(t, f.nodes["h2-0"].holder.Document().Generation, uint64(0))
 		assert.Equal(t, f.nodes["h1-0"].holder.Document().Generation, uint64(1))
-		f.cut = func(_, _ *node) bool { return false }
-		f.store.silent = nil
+		f.setCut(func(_, _ *node) bool { return false })
+		f.setSilent(func(*node) bool { return false })
 		time.Sleep(inForceBound)
 		f.assertGeneration(1)
 		assert.Assert(t, !f.nodes["h0-0"].cuts["dc2"], "the heal was not noticed")
@@ -285,7 +303,7 @@
 // Messages pass in one direction only; the call has no answer then.
 func TestOneWayCutOfAHostIsRefutedOrDies(t *testing.T) {
 	inFleet(t, 1, 6, func(f *fleet) {
-		f.cut = func(from, to *node) bool { return from.record.Host == "h0-0" && to.record.Host == "h0-1" }
+		f.setCut(func(from, to *node) bool { return from.record.Host == "h0-0" && to.record.Host == "h0-1" })
 		time.Sleep(40 * time.Second)
 		f.assertKnown(6)
 	})
@@ -304,7 +322,6 @@
 
 func TestAllWatchersReplacedAtOnce(t *testing.T) {
 	inFleet(t, 1, 6, func(f *fleet) {
-		f.store.silent = func(n *node) bool { return false }
 		for _, host := range []string{"h0-0", "h0-1", "h0-2", "h0-3"} {
 			f.nodes[host].stop()
 		}
@@ -323,7 +340,7 @@
 			hosts = append(hosts, n.record.Host)
 		}
 		duty := ranks.New("watch", hosts)
-		f.store.silent = func(n *node) bool { return duty.Index(n.record.Host) < 2 }
+		f.setSilent(func(n *node) bool { return duty.Index(n.record.Host) < 2 })
 		f.store.write(1)
 		time.Sleep(inForceBound)
 		f.assertGeneration(1)
@@ -332,12 +349,11 @@
 
 func TestSilentWatchIsGivenUp(t *testing.T) {
 	inFleet(t, 1, 4, func(f *fleet) {
-		silent := true
-		f.store.silent = func(*node) bool { return silent }
+		f.setSilent(func(*node) bool { return true })
 		f.store.write(1)
 		time.Sleep(20 * time.Second)
 		f.assertGeneration(0)
-		silent = false
+		f.setSilent(func(*node) bool { return false })
 		time.Sleep(inForceBound)
 		f.assertGeneration(1)
 	})
@@ -367,22 +383,18 @@
 				cutHost := teaseltack.HostID(fmt.Sprintf("h%d-%d", rapid.IntRange(0, 1).Draw(r, "cut dc"), rapid.IntRange(0, 2).Draw(r, "cut host")))
 				oneWay := rapid.Bool().Draw(r, "one way")
 				quiet := rapid.Bool().Draw(r, "platform silent")
-				f.mu.Lock()
-				f.cut = func(from, to *node) bool {
+				f.setCut(func(from, to *node) bool {
 					return from.record.Host == cutHost || !oneWay && to.record.Host == cutHost
-				}
-				f.mu.Unlock()
-				f.store.silent = func(*node) bool { return quiet }
+				})
+				f.setSilent(func(*node) bool { return quiet })
 				if rapid.Bool().Draw(r, "change") {
 					generation++
 					f.store.write(generation)
 				}
 				time.Sleep(time.Duration(rapid.IntRange(1, 15000).Draw(r, "pause ms")) * time.Millisecond)
 			}
-			f.mu.Lock()
-			f.cut = func(_, _ *node) bool { return false }
-			f.mu.Unlock()
-			f.store.silent = nil
+			f.setCut(func(_, _ *node) bool { return false })
+			f.setSilent(func(*node) bool { return false })
 			time.Sleep(60 * time.Second)
 			f.assertKnown(6)
 			f.assertGeneration(generation)
