Mend the metrics; spread the news of a server at once

Cause: following README's third block by hand, /metrics panicked (a method value of the gate was taken before the gate was made), and a payment sent right after its server's start was refused no-server for up to two seconds. Ruled out: the membership's rounds, which work as meant. Change: the gauge reads the gate at each scrape; a change of the server's state is spread to all partners at once. Before: TestMetricsTellEveryDecision fails by the panic. After: it passes.

--- a/io/daemon/announce.go
+++ b/io/daemon/announce.go
@@ -41,12 +41,11 @@
 	if cold {
 		d.log.Info("server announced", "service", a.Service, "address", a.Address, "slots", a.Slots, "connections", a.Connections)
 	}
-	d.applyServing()
 	d.members.UpdateOwn(func(r *teaseltack.Record) {
-		r.Service = teaseltack.Service(a.Service)
 		r.Slots = a.Slots
 		r.Connections = a.Connections
 	})
+	d.applyServing()
 	return nil
 }
 
@@ -69,11 +68,16 @@
 // membership after it.
 func (d *Daemon) applyServing() {
 	service, serving := d.serving()
-	if _, before := d.home.Serving(); before != serving {
+	_, before := d.home.Serving()
+	d.home.SetServing(service, serving)
+	d.members.UpdateOwn(func(r *teaseltack.Record) {
+		r.Service = service
+		r.Serving = serving
+	})
+	if before != serving {
 		d.log.Info("server state changed", "service", service, "serving", serving)
+		d.mesh.Spread()
 	}
-	d.home.SetServing(service, serving)
-	d.members.UpdateOwn(func(r *teaseltack.Record) { r.Serving = serving })
 }
 
 func (d *Daemon) checkAnnouncement() {
--- a/io/daemon/daemon_test.go
+++ b/io/daemon/daemon_test.go
@@ -117,3 +117,27 @@
 	slices.Sort(times)
 	return times[min(int(float64(len(times))*quantile/100), len(times)-1)]
 }
+
+func TestMetricsTellEveryDecision(t *testing.T) {
+	d, _ := startHost(t, "metrics", "till")
+	awaitAnswer(t, "http://"+d.OuterAddress()+"/till/check")
+	call(http.DefaultClient, "http://"+d.OuterAddress()+"/nobody/check")
+	response, err := http.Get("http://" + d.OperatorAddress() + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	for _, name := range []string{
+		"answered_total", "refused_total", "work_seconds_bucket", "concurrency_limit", "in_flight", "admission_level", "generation_in_force",
+		"hosts_behind", "hosts_known", "tickets_remembered", "platform_reachable", "data_centres_unreachable",
+	} {
+		assert.Check(t, strings.Contains(string(text), "\nteaseltack_"+name), "%s is missing", name)
+	}
+}
+
+func TestNewServerIsKnownToOthers(t *testing.T) {
+	home, _ := startHost(t, "home", "")
+	entry, _ := startHost(t, "entry", "till", home.PeerAddress())
+	awaitAnswer(t, "http://"+home.OuterAddress()+"/till/check")
+	awaitAnswer(t, "http://"+entry.OuterAddress()+"/till/check")
+}
--- a/io/daemon/doors.go
+++ b/io/daemon/doors.go
@@ -84,7 +84,7 @@
 
 func (d *Daemon) gauges() metric.Gauges {
 	return metric.Gauges{
-		Load: d.gate.Summary,
+		Load: func() teaseltack.Load { return d.gate.Summary() },
 		Generation: func() float64 {
 			generation, _ := d.holder.Generation()
 			return float64(generation)
