Never tell a repeat not-run on the entry's own word; split grown files

Cause: reading the way of a payment: an entry that shed a repeat under pressure, or a door that was not ready, said not-run although an earlier attempt with the same ticket or key may have run through another daemon. Ruled out: the home's own refusals, which tombstone the ticket. Before: TestRefusedRepeatIsNotToldNotRun fails in two of four cases. After: passes.

--- a/core/entry/chain_test.go
+++ b/core/entry/chain_test.go
@@ -288,3 +288,33 @@
 		})
 	}
 }
+
+// An entry that refuses a repeat by itself cannot know whether an earlier
+// attempt ran through another daemon.
+func TestRefusedRepeatIsNotToldNotRun(t *testing.T) {
+	pay := target("till", "pay")
+	for name, test := range map[string]struct {
+		arrival teaseltack.Arrival
+		want    teaseltack.Verdict
+	}{
+		"first attempt with key":     {teaseltack.Arrival{Key: "k"}, teaseltack.NotRun},
+		"repeat with key":            {teaseltack.Arrival{Key: "k", Attempt: 1}, teaseltack.MayHaveRun},
+		"uncounted with ticket":      {teaseltack.Arrival{Ticket: "t", Attempt: teaseltack.UnknownAttempt}, teaseltack.MayHaveRun},
+		"uncounted without identity": {teaseltack.Arrival{Attempt: teaseltack.UnknownAttempt}, teaseltack.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(map[teaseltack.Service]int{"till": 1, "gateway": 1})
+				defer f.stop()
+				f.addPolicy(pay, teaseltack.ClassProtected, true, 0)
+				gateway := f.hosts["gateway-0"]
+				gateway.press.Observe(pay, "till-0", teaseltack.Load{Level: teaseltack.LevelCount})
+				a := test.arrival
+				a.ID, a.Target, a.Retries = "a", pay, -1
+				answer := gateway.entry.Serve(context.Background(), &a)
+				assert.Equal(t, answer.Refusal.Reason, teaseltack.ReasonPressure)
+				assertVerdict(t, answer, test.want)
+			})
+		})
+	}
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"teaseltack"
 	"teaseltack/core/claim"
 	"teaseltack/core/home"
@@ -99,6 +96,9 @@
 func (e *Entry) Serve(ctx context.Context, a *teaseltack.Arrival) *teaseltack.Answer {
 	j, refusal := e.prepare(a)
 	if refusal != nil {
+		if a.MayHaveEarlier() {
+			refusal = refusal.Doubted()
+		}
 		answer := &teaseltack.Answer{ID: a.ID, Refusal: refusal}
 		e.report(a.Target, a.Class, answer)
 		return answer
@@ -122,133 +122,21 @@
 
 // finish gives unused retries back to the parent and notes its trouble.
 func (e *Entry) finish(j *journey, answer *teaseltack.Answer) {
-	const firstServerError = 500
 	left := j.purse.Close()
 	answer.RetriesLeft = left
 	if j.parent != nil {
 		j.parent.Purse.Return(left, left)
 		j.parent.Waited.Add(int64(answer.Waited))
-		if answer.Refusal != nil || answer.Status >= firstServerError {
+		if answer.Erred() {
 			j.parent.Troubled.Store(true)
 		}
 	}
-	if answer.Refusal != nil && answer.Refusal.Verdict == teaseltack.NotRun && j.doubt {
-		doubtful := *answer.Refusal
-		doubtful.Verdict = teaseltack.MayHaveRun
-		answer.Refusal = &doubtful
+	if answer.Refusal != nil && j.doubt {
+		answer.Refusal = answer.Refusal.Doubted()
 	}
 	e.report(j.call.Target, j.call.Priority.Class, answer)
 }
 
-// prepare applies the policy or the parent's context to an arrival.
-func (e *Entry) prepare(a *teaseltack.Arrival) (*journey, *teaseltack.Refusal) {
-	policy, known := e.cfg.Policies.Policy(a.Target)
-	if !known {
-		return nil, teaseltack.Refuse(teaseltack.ReasonUnknownTarget, "no policy for %s", a.Target)
-	}
-	j := &journey{policy: policy, key: a.Key, budget: e.budget(a.Target)}
-	j.call = teaseltack.Call{
-		ID:            a.ID,
-		Nonce:         e.nonce(),
-		Target:        a.Target,
-		NonIdempotent: policy.NonIdempotent,
-		Attempt:       a.Attempt,
-		Ticket:        a.Ticket,
-		Key:           a.Key,
-		Payload:       a.Payload,
-	}
-	now := e.cfg.Timers.Now()
-	lifetime := policy.Lifetime
-	if a.Lifetime > 0 {
-		lifetime = min(lifetime, a.Lifetime)
-	}
-	j.call.Deadline = now.Add(lifetime)
-	if a.Nested {
-		e.inherit(j, a, now)
-		return j, e.checkTime(j, now)
-	}
-	return j, e.applyRoot(j, a)
-}
-
-func (e *Entry) checkTime(j *journey, now time.Time) *teaseltack.Refusal {
-	if !now.Before(j.call.Deadline) {
-		return teaseltack.Refuse(teaseltack.ReasonLifetime, "the parent call has no time left")
-	}
-	return nil
-}
-
-// inherit takes class, rank, lifetime and retries from the parent's scope. A
-// nested call whose parent is unknown gets the lowest class and no retries.
-func (e *Entry) inherit(j *journey, a *teaseltack.Arrival, now time.Time) {
-	j.call.Priority = teaseltack.Priority{Class: teaseltack.ClassLow, Nested: true}
-	j.parent = e.cfg.Scopes.Find(a.Parent)
-	if j.parent == nil {
-		j.purse = purse.New(0)
-		return
-	}
-	e.cfg.Scopes.Called(j.parent.Target, a.Target, now)
-	j.call.ID = j.parent.ID
-	j.call.Priority = j.parent.Priority
-	j.call.Priority.Nested = true
-	if j.parent.Deadline.Before(j.call.Deadline) {
-		j.call.Deadline = j.parent.Deadline
-	}
-	j.purse = purse.New(j.parent.Purse.TakeHalf())
-}
-
-// applyRoot checks what the caller claims against the policy.
-func (e *Entry) applyRoot(j *journey, a *teaseltack.Arrival) *teaseltack.Refusal {
-	class := j.policy.Class
-	if a.ClassAsked {
-		if a.Class > class {
-			return teaseltack.Refuse(teaseltack.ReasonBadRequest, "class is %s, allowed are classes up to %s", a.Class, class)
-		}
-		class = a.Class
-	}
-	retries := j.policy.Retries
-	if a.Retries > retries {
-		return teaseltack.Refuse(teaseltack.ReasonBadRequest, "retries is %d, allowed is 0 to %d", a.Retries, retries)
-	}
-	if a.Retries >= 0 {
-		retries = a.Retries
-	}
-	if a.Attempt > 0 {
-		retries = 0
-	}
-	j.purse = purse.New(retries)
-	j.call.Priority = teaseltack.Priority{Class: class, Rank: uint32(xxhash.Sum64String(string(a.ID)))}
-	return e.shed(j)
-}
-
-// shed refuses at the root what the target or a service below it would refuse.
-func (e *Entry) shed(j *journey) *teaseltack.Refusal {
-	if e.cfg.Greedy {
-		return nil
-	}
-	level := e.cfg.Pressure.Level(j.call.Target)
-	if j.call.Priority.Bucket() >= level {
-		return nil
-	}
-	refusal := teaseltack.Refuse(teaseltack.ReasonPressure, "admission level is %d, the call's is %d", level, j.call.Priority.Bucket())
-	refusal.RetryAfter = pressureDelay
-	return refusal
-}
-
-func (e *Entry) budget(target teaseltack.Target) *ratio.Budget {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b := e.budgets[target]
-	if b == nil {
-		b = ratio.New()
-		e.budgets[target] = b
-	}
-	return b
-}
-
-func (e *Entry) nonce() teaseltack.Nonce {
-	return teaseltack.Nonce(strconv.FormatUint(e.cfg.Source.Uint64(), 36) + strconv.FormatUint(e.cfg.Source.Uint64(), 36))
-}
-
 func (e *Entry) serve(ctx context.Context, j *journey) *teaseltack.Answer {
 	j.budget.Earn()
 	if j.policy.NonIdempotent && j.call.Ticket != "" {
@@ -365,70 +253,3 @@
 	}
 	return route.Failed
 }
-
-// corrected reports whether the home took no new work, which a stale view of the
-// membership caused. Nothing was queued or run, so choosing anew is no retry.
-func (e *Entry) corrected(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
-	if refusal.Verdict != teaseltack.NotRun || ctx.Err() != nil || j.corrections == maxCorrections {
-		return false
-	}
-	switch refusal.Reason {
-	case teaseltack.ReasonLeaving, teaseltack.ReasonNoServer, teaseltack.ReasonWrongHost:
-		j.corrections++
-		return true
-	}
-	return false
-}
-
-// mayRetry decides on one more attempt and pays for it.
-func (e *Entry) mayRetry(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
-	if j.policy.NonIdempotent && refusal.Verdict != teaseltack.NotRun {
-		return false
-	}
-	if refusal.Verdict == teaseltack.Ran || isFinal(refusal.Reason) {
-		return false
-	}
-	if ctx.Err() != nil || !e.cfg.Timers.Now().Before(j.call.Deadline) {
-		return false
-	}
-	return e.payRetry(j, refusal)
-}
-
-func isFinal(reason teaseltack.Reason) bool {
-	switch reason {
-	case teaseltack.ReasonBadRequest, teaseltack.ReasonTooLarge, teaseltack.ReasonLifetime, teaseltack.ReasonCancelled,
-		teaseltack.ReasonTicketInvalid, teaseltack.ReasonKeyMismatch, teaseltack.ReasonUnknownTarget:
-		return true
-	}
-	return false
-}
-
-func (e *Entry) payRetry(j *journey, refusal *teaseltack.Refusal) bool {
-	if !e.canPay(j, refusal) {
-		return false
-	}
-	if e.cfg.Observe != nil {
-		e.cfg.Observe.Retried(j.call.Target)
-	}
-	return true
-}
-
-// canPay takes the price of a retry from the request's purse and from the
-// target's budget.
-func (e *Entry) canPay(j *journey, refusal *teaseltack.Refusal) bool {
-	if e.cfg.Greedy {
-		return len(j.tried) < int(j.policy.Retries)
-	}
-	if e.wholeServiceSheds(j, refusal) {
-		return false
-	}
-	return j.purse.Left() > 0 && j.budget.Spend() && j.purse.Spend()
-}
-
-// wholeServiceSheds reports that another home would shed the call as well.
-func (e *Entry) wholeServiceSheds(j *journey, refusal *teaseltack.Refusal) bool {
-	if refusal.Reason != teaseltack.ReasonOverload && refusal.Reason != teaseltack.ReasonEvicted {
-		return false
-	}
-	return e.cfg.Pressure.Level(j.call.Target) > j.call.Priority.Bucket()
-}
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -73,11 +73,11 @@
 // nothing to a home, so a first attempt did not run. Of a repeat, or when the
 // caller does not count its attempts, an earlier one may have run elsewhere.
 func (e *Entry) keyVerdict(j *journey, refusal *teaseltack.Refusal) *teaseltack.Refusal {
-	told := *refusal
-	told.Verdict = teaseltack.MayHaveRun
-	if j.call.Attempt == 0 {
-		told.Verdict = teaseltack.NotRun
+	if j.call.Attempt != 0 {
+		return refusal.Doubted()
 	}
+	told := *refusal
+	told.Verdict = teaseltack.NotRun
 	return &told
 }
 
--- /dev/null
+++ b/core/entry/retry.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+
+	"teaseltack"
+)
+
+// corrected reports whether the home took no new work, which a stale view of the
+// membership caused. Nothing was queued or run, so choosing anew is no retry.
+func (e *Entry) corrected(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
+	if refusal.Verdict != teaseltack.NotRun || ctx.Err() != nil || j.corrections == maxCorrections {
+		return false
+	}
+	switch refusal.Reason {
+	case teaseltack.ReasonLeaving, teaseltack.ReasonNoServer, teaseltack.ReasonWrongHost:
+		j.corrections++
+		return true
+	}
+	return false
+}
+
+// mayRetry decides on one more attempt and pays for it.
+func (e *Entry) mayRetry(ctx context.Context, j *journey, refusal *teaseltack.Refusal) bool {
+	if j.policy.NonIdempotent && refusal.Verdict != teaseltack.NotRun {
+		return false
+	}
+	if refusal.Verdict == teaseltack.Ran || isFinal(refusal.Reason) {
+		return false
+	}
+	if ctx.Err() != nil || !e.cfg.Timers.Now().Before(j.call.Deadline) {
+		return false
+	}
+	return e.payRetry(j, refusal)
+}
+
+func isFinal(reason teaseltack.Reason) bool {
+	switch reason {
+	case teaseltack.ReasonBadRequest, teaseltack.ReasonTooLarge, teaseltack.ReasonLifetime, teaseltack.ReasonCancelled,
+		teaseltack.ReasonTicketInvalid, teaseltack.ReasonKeyMismatch, teaseltack.ReasonUnknownTarget:
+		return true
+	}
+	return false
+}
+
+func (e *Entry) payRetry(j *journey, refusal *teaseltack.Refusal) bool {
+	if !e.canPay(j, refusal) {
+		return false
+	}
+	if e.cfg.Observe != nil {
+		e.cfg.Observe.Retried(j.call.Target)
+	}
+	return true
+}
+
+// canPay takes the price of a retry from the request's purse and from the
+// target's budget.
+func (e *Entry) canPay(j *journey, refusal *teaseltack.Refusal) bool {
+	if e.cfg.Greedy {
+		return len(j.tried) < int(j.policy.Retries)
+	}
+	if e.wholeServiceSheds(j, refusal) {
+		return false
+	}
+	return j.purse.Left() > 0 && j.budget.Spend() && j.purse.Spend()
+}
+
+// wholeServiceSheds reports that another home would shed the call as well.
+func (e *Entry) wholeServiceSheds(j *journey, refusal *teaseltack.Refusal) bool {
+	if refusal.Reason != teaseltack.ReasonOverload && refusal.Reason != teaseltack.ReasonEvicted {
+		return false
+	}
+	return e.cfg.Pressure.Level(j.call.Target) > j.call.Priority.Bucket()
+}
--- a/core/entry/rig_test.go
+++ b/core/entry/rig_test.go
@@ -53,7 +53,7 @@
 	serves   int
 	// cutOff holds the hosts that are cut off from the others and the platform.
 	cutOff map[teaseltack.HostID]bool
-	calls    map[teaseltack.RequestID]int
+	calls  map[teaseltack.RequestID]int
 }
 
 type fakeHost struct {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -24,8 +24,6 @@
 	// nonceMemory is how long a call without a ticket is remembered by its nonce
 	// after its deadline.
 	nonceMemory = 10 * time.Second
-	// firstServerError is the lowest HTTP status that reports a server's error.
-	firstServerError = 500
 )
 
 // Config sets up a home.
@@ -335,7 +333,7 @@
 	answer.RetriesLeft = left
 	answer.Work = work
 	answer.Waited = waited
-	answer.Faulty = answer.Status >= firstServerError && !running.Troubled.Load()
+	answer.Faulty = answer.Erred() && !running.Troubled.Load()
 	return answer
 }
 
@@ -347,7 +345,7 @@
 		return teaseltack.OutcomeErrored
 	case err != nil:
 		return teaseltack.OutcomeFailed
-	case answer.Status >= firstServerError:
+	case answer.Erred():
 		return teaseltack.OutcomeErrored
 	}
 	return teaseltack.OutcomeWhole
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +14,6 @@
 
 	"teaseltack"
 	"teaseltack/core/member"
-	"teaseltack/core/ranks"
 )
 
 const (
@@ -56,11 +53,6 @@
 	Cut func(teaseltack.DataCentre, bool)
 }
 
-type reach struct {
-	answeredAt time.Time
-	cut        bool
-}
-
 // Mesh runs the exchanges. It is safe for concurrent use.
 type Mesh struct {
 	cfg      Config
@@ -92,17 +84,6 @@
 	m.stop()
 }
 
-// partner is the far end of an exchange. A first contact has no host yet.
-type partner struct {
-	host       teaseltack.HostID
-	dataCentre teaseltack.DataCentre
-	address    string
-}
-
-func partnerOf(r teaseltack.Record) partner {
-	return partner{host: r.Host, dataCentre: r.DataCentre, address: r.PeerAddress}
-}
-
 func (m *Mesh) tick() {
 	m.cfg.Members.Tick()
 	for _, p := range m.choose() {
@@ -150,119 +131,6 @@
 	}
 }
 
-// view is the membership as partners are chosen from it.
-type view struct {
-	revision uint64
-	own      teaseltack.Record
-	records  map[teaseltack.HostID]teaseltack.Record
-	ring     ranks.Ranking
-	others   map[teaseltack.DataCentre]ranks.Ranking
-	lost     []teaseltack.Record
-}
-
-// view returns the partners to choose from, computed anew only after a change.
-func (m *Mesh) view() *view {
-	revision := m.cfg.Members.Revision()
-	m.mu.Lock()
-	kept := m.kept
-	m.mu.Unlock()
-	if kept != nil && kept.revision == revision {
-		return kept
-	}
-	v := m.look(revision)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.kept = v
-	return v
-}
-
-func (m *Mesh) look(revision uint64) *view {
-	v := &view{
-		revision: revision,
-		own:      m.cfg.Members.Own(),
-		records:  map[teaseltack.HostID]teaseltack.Record{},
-		others:   map[teaseltack.DataCentre]ranks.Ranking{},
-	}
-	var local []teaseltack.HostID
-	others := map[teaseltack.DataCentre][]teaseltack.HostID{}
-	for _, r := range m.cfg.Members.Records() {
-		v.records[r.Host] = r
-		switch {
-		case r.State >= teaseltack.Dead:
-			v.lost = append(v.lost, r)
-		case r.DataCentre == v.own.DataCentre:
-			local = append(local, r.Host)
-		default:
-			others[r.DataCentre] = append(others[r.DataCentre], r.Host)
-		}
-	}
-	v.ring = ranks.New("mesh", local)
-	for name, hosts := range others {
-		v.others[name] = ranks.New("across "+string(name), hosts)
-	}
-	return v
-}
-
-// chords returns the partners of the own data centre, the next one first.
-func (v *view) chords() []teaseltack.HostID {
-	index := v.ring.Index(v.own.Host)
-	var chords []teaseltack.HostID
-	for distance := 1; distance < v.ring.Len(); distance *= 2 {
-		chords = append(chords, v.ring.At(index+distance))
-	}
-	return chords
-}
-
-// across returns one partner in each other data centre, another one each round.
-func (v *view) across(round int) []partner {
-	index := max(v.ring.Index(v.own.Host), 0)
-	var partners []partner
-	for _, name := range slices.Sorted(maps.Keys(v.others)) {
-		host := v.others[name].At(index + round)
-		partners = append(partners, partnerOf(v.records[host]))
-	}
-	return partners
-}
-
-// choose returns the partners of this round.
-func (m *Mesh) choose() []partner {
-	v := m.view()
-	m.mu.Lock()
-	m.round++
-	round := m.round
-	m.mu.Unlock()
-	var partners []partner
-	chords := v.chords()
-	if len(chords) > 0 {
-		partners = append(partners, partnerOf(v.records[chords[0]]))
-	}
-	if len(chords) > 1 {
-		partners = append(partners, partnerOf(v.records[chords[1+round%(len(chords)-1)]]))
-	}
-	if across := v.across(round); len(across) > 0 && round%crossEvery == 0 {
-		partners = append(partners, across[round/crossEvery%len(across)])
-	}
-	if round%seedEvery == 0 || len(v.records) == 1 {
-		partners = append(partners, m.farther(v)...)
-	}
-	return partners
-}
-
-// farther returns a lost host and a first contact, so that healed partitions
-// and replaced fleets find each other.
-func (m *Mesh) farther(v *view) []partner {
-	var partners []partner
-	if len(v.lost) > 0 {
-		r := v.lost[m.cfg.Source.Uint64()%uint64(len(v.lost))]
-		partners = append(partners, partner{address: r.PeerAddress})
-	}
-	seeds := m.cfg.Seeds()
-	if len(seeds) > 0 {
-		partners = append(partners, partner{address: seeds[m.cfg.Source.Uint64()%uint64(len(seeds))]})
-	}
-	return partners
-}
-
 // begin keeps one exchange per address in progress.
 func (m *Mesh) begin(address string) bool {
 	m.mu.Lock()
@@ -379,66 +247,3 @@
 	defer cancel()
 	m.fetch(ctx, address, generation)
 }
-
-// failed counts a failed call. A suspicion is raised once per row of failures.
-func (m *Mesh) failed(p partner) {
-	if p.host == "" {
-		return
-	}
-	local := p.dataCentre == m.cfg.Members.Own().DataCentre
-	m.mu.Lock()
-	m.failures[p.host]++
-	suspect := local && m.failures[p.host] == suspectAfter
-	wentOut := !local && m.loseReach(p.dataCentre)
-	m.mu.Unlock()
-	if suspect {
-		m.cfg.Members.Suspect(p.host)
-	}
-	if wentOut {
-		m.cfg.Cut(p.dataCentre, true)
-	}
-}
-
-// loseReach notes a failed call to another data centre and reports whether the
-// data centre went out of reach by it.
-func (m *Mesh) loseReach(name teaseltack.DataCentre) bool {
-	now := m.cfg.Timers.Now()
-	r := m.reaches[name]
-	if r == nil {
-		r = &reach{answeredAt: now}
-		m.reaches[name] = r
-	}
-	if r.cut || now.Sub(r.answeredAt) < cutAfter {
-		return false
-	}
-	r.cut = true
-	return true
-}
-
-func (m *Mesh) answered(p partner) {
-	if p.host == "" {
-		return
-	}
-	m.mu.Lock()
-	delete(m.failures, p.host)
-	r := m.reaches[p.dataCentre]
-	cameBack := r != nil && r.cut
-	m.reaches[p.dataCentre] = &reach{answeredAt: m.cfg.Timers.Now()}
-	m.mu.Unlock()
-	if cameBack {
-		m.cfg.Cut(p.dataCentre, false)
-	}
-}
-
-// CutOff lists the data centres out of reach.
-func (m *Mesh) CutOff() []teaseltack.DataCentre {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var names []teaseltack.DataCentre
-	for name, r := range m.reaches {
-		if r.cut {
-			names = append(names, name)
-		}
-	}
-	return names
-}
--- /dev/null
+++ b/core/route/choose.go
@@ -0,0 +1,153 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// dueForProbe returns a candidate whose ejection has ended without a call since.
+func dueForProbe(candidates []*home) *home {
+	for _, h := range candidates {
+		if !h.ejectedUntil.IsZero() && !h.probing {
+			return h
+		}
+	}
+	return nil
+}
+
+// tier orders homes by how fit they are for a call.
+type tier uint8
+
+const (
+	tierGood tier = iota
+	tierShedding
+	tierEjected
+	tierCount
+)
+
+// candidates returns the homes of the best tier that has any, those of the own
+// data centre and the others.
+func (r *Router) candidates(req Request, now time.Time) (local, remote []*home) {
+	var locals, remotes [tierCount][]*home
+	for _, h := range r.services[req.Service] {
+		if slices.Contains(req.Tried, h.record.Host) {
+			continue
+		}
+		t := r.tierOf(h, req, now)
+		if t == tierShedding && req.AvoidShedding {
+			continue
+		}
+		if h.distance == 0 {
+			locals[t] = append(locals[t], h)
+		} else {
+			remotes[t] = append(remotes[t], h)
+		}
+	}
+	for t := range tierCount {
+		if len(locals[t])+len(remotes[t]) > 0 {
+			return locals[t], remotes[t]
+		}
+	}
+	return nil, nil
+}
+
+func (r *Router) tierOf(h *home, req Request, now time.Time) tier {
+	switch {
+	case h.blocked(now) || r.cut[h.record.DataCentre]:
+		return tierEjected
+	case h.level(req.Method, now) > req.Bucket:
+		return tierShedding
+	}
+	return tierGood
+}
+
+// choose takes the best of two random homes of the own data centre and two
+// others. Sampling keeps entries from crowding at the same best home.
+func (r *Router) choose(local, remote []*home, now time.Time) *home {
+	if r.cfg.Uniform {
+		all := slices.Concat(local, remote)
+		return all[r.cfg.Source.Uint64()%uint64(len(all))]
+	}
+	sampled := append(r.sample(local), r.sample(remote)...)
+	least := leastWork(sampled)
+	best := sampled[0]
+	bestTime := r.expected(best, least, now)
+	for _, h := range sampled[1:] {
+		if t := r.expected(h, least, now); t < bestTime {
+			best, bestTime = h, t
+		}
+	}
+	return best
+}
+
+// sample returns up to two different homes.
+func (r *Router) sample(homes []*home) []*home {
+	n := uint64(len(homes))
+	if n <= 1 {
+		return slices.Clone(homes)
+	}
+	i := r.cfg.Source.Uint64() % n
+	j := (i + 1 + r.cfg.Source.Uint64()%(n-1)) % n
+	return []*home{homes[i], homes[j]}
+}
+
+func leastWork(homes []*home) time.Duration {
+	least := time.Duration(0)
+	for _, h := range homes {
+		if h.work > 0 && (least == 0 || h.work < least) {
+			least = h.work
+		}
+	}
+	return max(least, time.Millisecond)
+}
+
+// expected estimates the time until the home answers. A home that told nothing
+// lately is taken to be as fast as the fastest other choice.
+func (r *Router) expected(h *home, least time.Duration, now time.Time) time.Duration {
+	work := h.work
+	limit := max(h.record.Slots/coldShare, 1)
+	inFlight := h.outstanding
+	if age := now.Sub(h.toldAt); age < loadAge && h.load.Limit > 0 {
+		weight := float64(loadAge-age) / float64(loadAge)
+		limit = h.load.Limit
+		inFlight = max(inFlight, int(weight*float64(h.load.InFlight)))
+	} else {
+		work = least
+	}
+	if work == 0 {
+		work = least
+	}
+	took := work
+	if inFlight >= limit {
+		took += work * time.Duration(inFlight-limit+1) / time.Duration(limit)
+	}
+	took += work * time.Duration(inFlight) / time.Duration(limit) / loadWeight
+	for range h.failures {
+		took *= failurePenalty
+	}
+	return took + r.delay(h)
+}
+
+// delay returns the time of the way to a home and back.
+func (r *Router) delay(h *home) time.Duration {
+	if h.distance == 0 {
+		return 0
+	}
+	if measured, ok := r.delays[h.record.DataCentre]; ok {
+		return measured
+	}
+	return stepDelay * time.Duration(h.distance)
+}
+
+func (r *Router) learnDelay(h *home, delay time.Duration) {
+	if delay < 0 {
+		return
+	}
+	name := h.record.DataCentre
+	old, ok := r.delays[name]
+	if !ok || delay < old {
+		r.delays[name] = delay
+		return
+	}
+	r.delays[name] = old + (delay-old)/delayMemory
+}
--- /dev/null
+++ b/core/route/home.go
@@ -0,0 +1,56 @@
+package route
+
+import (
+	"time"
+
+	"teaseltack"
+)
+
+type home struct {
+	record       teaseltack.Record
+	distance     int
+	outstanding  int
+	load         teaseltack.Load
+	toldAt       time.Time
+	work         time.Duration
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+	probing      bool
+	goneUntil    time.Time
+	// levels holds the admission levels that the home told, by method.
+	levels map[teaseltack.Method]toldLevel
+}
+
+type toldLevel struct {
+	level teaseltack.Level
+	at    time.Time
+}
+
+// blocked reports whether the home is ejected and not due for a probe.
+func (h *home) blocked(now time.Time) bool {
+	if now.Before(h.goneUntil) {
+		return true
+	}
+	if h.ejectedUntil.IsZero() {
+		return false
+	}
+	return now.Before(h.ejectedUntil) || h.probing
+}
+
+func (h *home) level(method teaseltack.Method, now time.Time) teaseltack.Level {
+	told := h.levels[method]
+	if now.Sub(told.at) > loadAge {
+		return 0
+	}
+	return told.level
+}
+
+func (h *home) learnWork(work time.Duration) {
+	const weight = 8
+	if h.work == 0 {
+		h.work = work
+		return
+	}
+	h.work += (work - h.work) / weight
+}
--- /dev/null
+++ b/io/daemon/build.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"slices"
+
+	"time"
+
+	"teaseltack"
+	"teaseltack/core/admit"
+	"teaseltack/core/change"
+	"teaseltack/core/claim"
+	"teaseltack/core/entry"
+	"teaseltack/core/force"
+	"teaseltack/core/home"
+	"teaseltack/core/member"
+	"teaseltack/core/mesh"
+	"teaseltack/core/press"
+	"teaseltack/core/route"
+	"teaseltack/core/scope"
+	"teaseltack/core/seeds"
+	"teaseltack/core/ticket"
+	"teaseltack/core/watch"
+	"teaseltack/io/auth"
+	"teaseltack/io/back"
+	"teaseltack/io/config"
+	"teaseltack/io/dial"
+	"teaseltack/io/metric"
+	"teaseltack/io/random"
+	"teaseltack/io/store"
+)
+
+// build makes the parts once the addresses are known.
+func (d *Daemon) build() {
+	source := random.New()
+	s := d.settings
+	d.metrics = metric.New(d.gauges())
+	d.members = member.New(member.Config{Timers: d.timers, Changed: d.refreshSoon, Own: d.ownRecord(source)})
+	d.holder = force.New(force.Config{Timers: d.timers, Changed: d.documentChanged, Default: defaultPolicy(s)})
+	d.router = route.New(route.Config{Timers: d.timers, Source: source, DataCentre: teaseltack.DataCentre(s.DataCentre), Near: near(s)})
+	d.press = press.New(press.Config{Timers: d.timers})
+	d.gate = admit.New(admit.Config{Timers: d.timers, Slots: 1, Connections: 1, MaxWait: milliseconds(s.MaxWaitMs)})
+	d.server = back.New(back.Config{Timers: d.timers, MaxAnswerBytes: s.MaxAnswerBytes})
+	d.tickets = ticket.New(ticket.Config{
+		Timers: d.timers, Source: source, Host: teaseltack.HostID(s.Host), Incarnation: d.members.Own().Incarnation,
+		Lifetime: seconds(s.TicketLifetimeS), MaxEntries: int(s.MaxRemembered), MaxKeptBytes: int(s.MaxRememberedBytes),
+	})
+	scopes := scope.New(scope.Config{Source: source})
+	d.home = home.New(home.Config{
+		Timers: d.timers, Host: teaseltack.HostID(s.Host), Gate: d.gate, Server: d.server,
+		Tickets: d.tickets, Scopes: scopes, Pressure: d.press,
+		Marked: func() bool { return d.holder.Leaving(teaseltack.HostID(s.Host)) },
+	})
+	client := dial.New(dial.Config{Timers: d.timers, Key: auth.Key(s.PeerKey), MaxMessageBytes: int(s.MaxAnswerBytes) + messageOverhead})
+	d.buildPlatform(source)
+	d.entry = entry.New(entry.Config{
+		Timers: d.timers, Source: source, Host: teaseltack.HostID(s.Host), Policies: d.holder, Router: d.router,
+		Pressure: d.press, Scopes: scopes, Homes: client, Local: d.home, Claims: d.claims, Observe: d.metrics,
+	})
+	d.mesh = mesh.New(mesh.Config{
+		Timers: d.timers, Source: source, Members: d.members, Overlay: client,
+		Seeds: d.firstContacts, Generation: d.holder.Generation, Heard: d.holder.Confirm,
+		Adopt: d.adopt, Cut: d.cut,
+	})
+	d.stops = append(d.stops, d.mesh.Close, d.home.Close, d.gate.Close, d.tickets.Close)
+}
+
+// messageOverhead is the room for headers beside a body in a peer message.
+const messageOverhead = 1 << 20
+
+// buildPlatform makes the parts that need the platform.
+func (d *Daemon) buildPlatform(source teaseltack.Source) {
+	if d.settings.PlatformAddress == "" {
+		return
+	}
+	platform := store.New(store.Config{Address: d.settings.PlatformAddress, Observe: d.metrics.PlatformCalled})
+	d.changer = change.New(change.Config{Timers: d.timers, Store: platform, Adopt: d.adopt})
+	d.watcher = watch.New(watch.Config{Timers: d.timers, Source: source, Store: platform, Members: d.members, Holder: d.holder, Adopt: d.adopt})
+	d.claims = claim.New(claim.Config{
+		Timers: d.timers, Store: platform, KeyLifetime: seconds(d.settings.KeyLifetimeS), FleetRate: float64(d.settings.ClaimsPerSecond),
+	})
+	d.seeds = seeds.New(seeds.Config{Timers: d.timers, Store: platform, Members: d.members, Near: near(d.settings)})
+	d.stops = append(d.stops, d.watcher.Close, d.seeds.Close)
+}
+
+// firstContacts returns the peers of the settings and of the platform, without
+// the own address.
+func (d *Daemon) firstContacts() []string {
+	contacts := slices.Clone(d.settings.Peers)
+	if d.seeds != nil {
+		contacts = append(contacts, d.seeds.Addresses()...)
+	}
+	own := d.doors.peer.Address()
+	return slices.DeleteFunc(contacts, func(address string) bool { return address == own })
+}
+
+// ownRecord makes the record of this life. Both numbers grow with the wall
+// clock, so a later life usually wins at once; the membership mends the rest.
+func (d *Daemon) ownRecord(source teaseltack.Source) teaseltack.Record {
+	const randomBits = 20
+	started := uint64(d.timers.Now().UnixMilli())
+	s := d.settings
+	return teaseltack.Record{
+		Host:        teaseltack.HostID(s.Host),
+		Incarnation: teaseltack.Incarnation(started<<randomBits | source.Uint64()>>(64-randomBits)),
+		Version:     started,
+		DataCentre:  teaseltack.DataCentre(s.DataCentre),
+		Region:      teaseltack.Region(s.Region),
+		PeerAddress: d.doors.peer.Address(),
+	}
+}
+
+func defaultPolicy(s *config.Settings) teaseltack.Policy {
+	return teaseltack.Policy{Class: teaseltack.ClassNormal, Lifetime: milliseconds(s.DefaultLifetimeMs), NonIdempotent: true}
+}
+
+func near(s *config.Settings) []teaseltack.DataCentre {
+	names := make([]teaseltack.DataCentre, len(s.Near))
+	for i, n := range s.Near {
+		names[i] = teaseltack.DataCentre(n)
+	}
+	return names
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func seconds(n int64) time.Duration { return time.Duration(n) * time.Second }
--- a/io/outer/outer.go
+++ b/io/outer/outer.go
@@ -93,6 +93,9 @@
 	arrival, status, refusal := d.read(c)
 	if refusal != nil {
 		d.cfg.Log.Debug("refused at the door", "request-id", c.Request().Header.Get(string(header.RequestID)), "reason", refusal.Reason, "detail", refusal.Detail)
+		if mayHaveEarlier(c.Request().Header) {
+			refusal = refusal.Doubted()
+		}
 		return d.refuse(c, status, refusal)
 	}
 	answer := d.cfg.Entry.Serve(c.Request().Context(), arrival)
@@ -108,6 +111,13 @@
 	return d.deliver(c, answer)
 }
 
+// mayHaveEarlier reads, of a request that was refused before it was read in full,
+// whether an earlier attempt may have run.
+func mayHaveEarlier(h http.Header) bool {
+	identified := header.Ticket.Get(h) != "" || header.Key.Get(h) != ""
+	return identified && header.Attempt.Get(h) != "0"
+}
+
 // deliver sends a whole answer with its length, so that a cut one is seen.
 func (d *Door) deliver(c echo.Context, answer *teaseltack.Answer) error {
 	h := c.Response().Header()
--- a/message.go
+++ b/message.go
@@ -71,6 +71,12 @@
 	return a.Refusal.Verdict
 }
 
+// Erred reports whether the answer is a refusal or tells of a server's error.
+func (a *Answer) Erred() bool {
+	const firstServerError = 500
+	return a.Refusal != nil || a.Status >= firstServerError
+}
+
 // Policy is what operators say of one method.
 type Policy struct {
 	Target        Target
@@ -115,3 +121,9 @@
 	Nested  bool
 	Payload Payload
 }
+
+// MayHaveEarlier reports whether an earlier attempt of the same request may have
+// run through another daemon, so that a refusal by this one is no proof.
+func (a *Arrival) MayHaveEarlier() bool {
+	return (a.Ticket != "" || a.Key != "") && a.Attempt != 0
+}
--- a/verdict.go
+++ b/verdict.go
@@ -82,6 +82,16 @@
 	return &Refusal{Verdict: MayHaveRun, Reason: reason, Detail: fmt.Sprintf(format, args...)}
 }
 
+// Doubted returns the refusal with the verdict MayHaveRun in place of NotRun.
+func (r *Refusal) Doubted() *Refusal {
+	if r.Verdict != NotRun {
+		return r
+	}
+	doubted := *r
+	doubted.Verdict = MayHaveRun
+	return &doubted
+}
+
 // AsRefusal returns the refusal in err's chain; any other error is a doubt.
 func AsRefusal(err error) *Refusal {
 	var r *Refusal
