Follow tickets to a home that is leaving

Cause: reading on: the router forgets a home that takes no new work, so a repeat of a payment was told may-have-run although the home still kept the answer. Ruled out: the home, which answers repeats while it leaves. Change: tickets find their home in the membership; a refused connection is a doubt only when an earlier attempt may have run. Before: TestTicketsOfALeavingHome fails with no-server. After: it passes.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -40,6 +40,9 @@
 	Pressure *press.Table
 	Scopes   *scope.Table
 	Homes    teaseltack.Homes
+	// Find returns the record of any host, also of one that takes no new work; it
+	// may be nil where no tickets are used.
+	Find func(teaseltack.HostID) (teaseltack.Record, bool)
 	// Local is the home of the same host, or nil.
 	Local *home.Home
 	// Claims binds bare keys; nil refuses them.
@@ -66,6 +69,9 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
+	if cfg.Find == nil {
+		cfg.Find = func(teaseltack.HostID) (teaseltack.Record, bool) { return teaseltack.Record{}, false }
+	}
 	return &Entry{cfg: cfg, budgets: map[teaseltack.Target]*ratio.Budget{}}
 }
 
@@ -88,6 +94,8 @@
 	tried  []teaseltack.HostID
 	// corrections counts the homes that turned out to take no new work.
 	corrections int
+	// earlier says that an attempt before this arrival may have run.
+	earlier bool
 	// doubt is set once an attempt may have run.
 	doubt bool
 }
@@ -221,7 +229,8 @@
 	refusal := teaseltack.AsRefusal(err)
 	if refusal.Verdict == teaseltack.NotRun {
 		j.purse.Return(call.Retries, call.Retries)
-	} else {
+	}
+	if refusal.Verdict != teaseltack.NotRun || j.earlier {
 		j.doubt = true
 	}
 	result := route.Failed
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -26,7 +26,7 @@
 			return answer
 		}
 		if !e.mayRepeat(ctx, j, answer.Refusal) {
-			return e.withoutFalseNotRun(j, answer)
+			return answer
 		}
 	}
 }
@@ -35,7 +35,7 @@
 	if host == e.cfg.Host && e.cfg.Local != nil {
 		return teaseltack.Record{Host: host, Service: service}, true
 	}
-	return e.cfg.Router.Lookup(service, host)
+	return e.cfg.Find(host)
 }
 
 // mayRepeat allows the same ticket again only after a lost connection.
@@ -46,15 +46,6 @@
 	return e.payRetry(j, refusal)
 }
 
-// withoutFalseNotRun keeps an entry from saying NotRun for a ticket that an
-// earlier attempt through another daemon may have used: only the home can.
-func (e *Entry) withoutFalseNotRun(j *journey, answer *teaseltack.Answer) *teaseltack.Answer {
-	if answer.Refusal.Reason == teaseltack.ReasonConnection {
-		j.doubt = true
-	}
-	return answer
-}
-
 // serveKey binds a bare key to a ticket and follows the ticket.
 func (e *Entry) serveKey(ctx context.Context, j *journey) *teaseltack.Answer {
 	bound, refusal := e.bind(ctx, j)
--- a/core/entry/rig_test.go
+++ b/core/entry/rig_test.go
@@ -121,7 +121,7 @@
 	h.router = route.New(route.Config{Timers: timers, Source: h.source})
 	h.entry = entry.New(entry.Config{
 		Timers: timers, Source: h.source, Host: h.record.Host, Policies: h.fleet, Router: h.router, Pressure: h.press, Scopes: h.scopes,
-		Homes: h, Local: h.home, Observe: h,
+		Homes: h, Find: h.fleet.find, Local: h.home, Observe: h,
 		Claims: claim.New(claim.Config{Timers: timers, Store: hostStore{h, h.fleet.store}, KeyLifetime: time.Hour, FleetRate: 1000}),
 	})
 }
@@ -274,6 +274,14 @@
 	return 200
 }
 
+func (f *fakeFleet) find(host teaseltack.HostID) (teaseltack.Record, bool) {
+	h, ok := f.hosts[host]
+	if !ok {
+		return teaseltack.Record{}, false
+	}
+	return h.record, true
+}
+
 func (h *fakeHost) isCutOff() bool {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -244,25 +244,6 @@
 	return nil
 }
 
-// Lookup returns the record of a host that serves the service.
-func (r *Router) Lookup(service teaseltack.Service, host teaseltack.HostID) (teaseltack.Record, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, h := range r.services[service] {
-		if h.record.Host == host {
-			return h.record, true
-		}
-	}
-	return teaseltack.Record{}, false
-}
-
-// Has reports whether any home of the service is known.
-func (r *Router) Has(service teaseltack.Service) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.services[service]) > 0
-}
-
 // Ejected reports whether the host is ejected now.
 func (r *Router) Ejected(host teaseltack.HostID) bool {
 	r.mu.Lock()
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -157,6 +157,25 @@
 	assert.Equal(t, post(f.daemons[3], "/orders/look-up", "").status, http.StatusOK)
 }
 
+// A repeat still gets the kept answer of a home that is leaving, and an unused
+// ticket of it is refused by the home's own word.
+func TestTicketsOfALeavingHome(t *testing.T) {
+	t.Parallel()
+	f := newShop(t, "")
+	used, unused := ticketOf(t, f, "till-1"), ticketOf(t, f, "till-1")
+	first := post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", used, "Idempotency-Key", "used", "Teaseltack-Attempt", "0")
+	assert.Equal(t, first.status, http.StatusOK, "%+v", first)
+	command(f.daemons[1], "server", "leave", "till-1")
+	f.awaitServing("till-1", "leaving")
+	repeat := post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", used, "Idempotency-Key", "used", "Teaseltack-Attempt", "1")
+	assert.Equal(t, repeat.body, first.body, "%+v", repeat)
+	refused := post(f.daemons[2], "/till/pay", "", "Teaseltack-Ticket", unused, "Idempotency-Key", "unused", "Teaseltack-Attempt", "0")
+	assert.Equal(t, refused.verdict, "not-run", "%+v", refused)
+	assert.Equal(t, refused.reason, "leaving")
+	assert.Equal(t, f.runs("used"), 1)
+	assert.Equal(t, f.runs("unused"), 0)
+}
+
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	f := newShop(t, "")
--- a/io/daemon/build.go
+++ b/io/daemon/build.go
@@ -54,7 +54,7 @@
 	d.buildPlatform(source)
 	d.entry = entry.New(entry.Config{
 		Timers: d.timers, Source: source, Host: teaseltack.HostID(s.Host), Policies: d.holder, Router: d.router,
-		Pressure: d.press, Scopes: scopes, Homes: client, Local: d.home, Claims: d.claims, Observe: d.metrics,
+		Pressure: d.press, Scopes: scopes, Homes: client, Find: d.members.Find, Local: d.home, Claims: d.claims, Observe: d.metrics,
 	})
 	d.mesh = mesh.New(mesh.Config{
 		Timers: d.timers, Source: source, Members: d.members, Overlay: client,
