Tell a server as ready once calls may go to it

Ruled out: lost news; the next request would have been served. Change: status tells a server as ready when the daemon's router has it.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -244,6 +244,13 @@
 	return nil
 }
 
+// Has reports whether calls of the service may go to the host.
+func (r *Router) Has(service teaseltack.Service, host teaseltack.HostID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.find(teaseltack.Record{Service: service, Host: host}) != nil
+}
+
 // Ejected reports whether the host is ejected now.
 func (r *Router) Ejected(host teaseltack.HostID) bool {
 	r.mu.Lock()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -128,6 +128,10 @@
 	if s.cfg.Holder.Leaving(r.Host) {
 		serving = teaseltack.Leaving
 	}
+	// News takes a moment from the membership to the router.
+	if serving == teaseltack.Ready && !s.cfg.Router.Has(r.Service, r.Host) {
+		serving = teaseltack.Absent
+	}
 	return &operatorv1.HostStatus{
 		Host:       string(r.Host),
 		DataCentre: string(r.DataCentre),
