--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -63,8 +63,6 @@
 	Ticket   teaseltack.Ticket
 	key      string
 	revision uint64
-	// Mine says that this call wrote the claim.
-	Mine bool
 }
 
 func storeKey(target teaseltack.Target, key string) string {
@@ -131,7 +129,7 @@
 	if standing == "" {
 		return nil, teaseltack.Doubt(teaseltack.ReasonPlatform, "the claim ended while it was written")
 	}
-	return &Bound{Ticket: standing, key: name, revision: entry.Revision, Mine: standing == ticket}, nil
+	return &Bound{Ticket: standing, key: name, revision: entry.Revision}, nil
 }
 
 func (c *Claims) get(ctx context.Context, name string) (teaseltack.Entry, error) {
--- a/core/entry/arrive.go
+++ b/core/entry/arrive.go
@@ -17,7 +17,7 @@
 	if !known {
 		return nil, teaseltack.Refuse(teaseltack.ReasonUnknownTarget, "no policy for %s", a.Target)
 	}
-	j := &journey{policy: policy, key: a.Key, earlier: a.MayHaveEarlier(), budget: e.budget(a.Target)}
+	j := &journey{policy: policy, earlier: a.MayHaveEarlier(), budget: e.budget(a.Target)}
 	j.call = teaseltack.Call{
 		ID:            a.ID,
 		Nonce:         e.nonce(),
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -93,7 +93,6 @@
 	purse  *purse.Purse
 	budget *ratio.Budget
 	parent *scope.Scope
-	key    string
 	tried  []teaseltack.HostID
 	// corrections counts the homes that turned out to take no new work.
 	corrections int
@@ -153,7 +152,7 @@
 	if j.policy.NonIdempotent && j.call.Ticket != "" {
 		return e.serveTicket(ctx, j)
 	}
-	if j.policy.NonIdempotent && j.key != "" {
+	if j.policy.NonIdempotent && j.call.Key != "" {
 		return e.serveKey(ctx, j)
 	}
 	return e.serveAnywhere(ctx, j)
--- a/core/entry/once.go
+++ b/core/entry/once.go
@@ -77,7 +77,7 @@
 		return nil, teaseltack.Refuse(teaseltack.ReasonPlatform, "no platform is configured for keys without tickets")
 	}
 	if j.call.Attempt != 0 {
-		bound, refusal := e.cfg.Claims.Find(ctx, j.call.Target, j.key)
+		bound, refusal := e.cfg.Claims.Find(ctx, j.call.Target, j.call.Key)
 		if bound != nil || refusal != nil {
 			return bound, refusal
 		}
@@ -86,7 +86,7 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	return e.cfg.Claims.Claim(ctx, j.call.Target, j.key, fresh)
+	return e.cfg.Claims.Claim(ctx, j.call.Target, j.call.Key, fresh)
 }
 
 // obtain gets a ticket from a home of the target.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -45,12 +45,11 @@
 	cfg    Config
 	nonces *seen.Nonces
 
-	mu        sync.Mutex
-	service   teaseltack.Service
-	serving   teaseltack.Serving
-	inFlight  int
-	idle      chan struct{}
-	announced bool
+	mu       sync.Mutex
+	service  teaseltack.Service
+	serving  teaseltack.Serving
+	inFlight int
+	idle     chan struct{}
 }
 
 // New returns a home without an announced server. It subscribes to the timers
@@ -71,7 +70,6 @@
 	defer h.mu.Unlock()
 	h.service = service
 	h.serving = serving
-	h.announced = true
 }
 
 // Serving returns the announced service and its state.
@@ -100,7 +98,7 @@
 }
 
 func (h *Home) checkServingLocked(service teaseltack.Service) *teaseltack.Refusal {
-	if !h.announced || h.serving == teaseltack.Absent {
+	if h.serving == teaseltack.Absent {
 		return teaseltack.Refuse(teaseltack.ReasonNoServer, "no server has announced itself at host %s", h.cfg.Host)
 	}
 	if h.service != service {
@@ -147,7 +145,7 @@
 		if !h.nonces.Enter(call.Nonce, call.Deadline) {
 			return refusedAnswer(call, teaseltack.Doubt(teaseltack.ReasonDuplicate, "a copy of the call arrived before"))
 		}
-		return h.attempt(ctx, call)
+		return h.attempt(ctx, call, "")
 	}
 	key, expires, refusal := h.memoryKey(call)
 	if refusal != nil {
@@ -186,7 +184,7 @@
 func (h *Home) runOnce(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
 	done := make(chan *teaseltack.Answer, 1)
 	go func() {
-		answer := h.attemptWith(ctx, call, key)
+		answer := h.attempt(ctx, call, key)
 		h.cfg.Tickets.Finish(key, answer)
 		done <- answer
 	}()
@@ -203,13 +201,9 @@
 	}
 }
 
-func (h *Home) attempt(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
-	return h.attemptWith(ctx, call, "")
-}
-
-// attemptWith passes the gate, checks once more what may have changed while the
+// attempt passes the gate, checks once more what may have changed while the
 // call waited, and dispatches it.
-func (h *Home) attemptWith(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+func (h *Home) attempt(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
 	if refusal := h.checkServing(call.Target.Service); refusal != nil {
 		return refusedAnswer(call, refusal)
 	}
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -156,7 +157,7 @@
 			p.faultAt(b.key, "is %d, allowed is %d to %d", v, b.least, b.most)
 		}
 	}
-	if !contains(logLevels, s.LogLevel) {
+	if !slices.Contains(logLevels, s.LogLevel) {
 		p.faultAt("log-level", "is %q, allowed are %s", s.LogLevel, strings.Join(logLevels, ", "))
 	}
 	p.checkAddresses(s)
@@ -200,12 +201,3 @@
 	}
 	return true
 }
-
-func contains(list []string, s string) bool {
-	for _, item := range list {
-		if item == s {
-			return true
-		}
-	}
-	return false
-}
--- a/io/daemon/announce.go
+++ b/io/daemon/announce.go
@@ -32,7 +32,7 @@
 	before := d.announcement
 	d.announcement = announcement{
 		service: teaseltack.Service(a.Service), address: a.Address, instance: a.Instance,
-		leaving: a.Leaving, renewed: d.timers.Now(), slots: a.Slots,
+		leaving: a.Leaving, renewed: d.timers.Now(),
 	}
 	cold := before.instance != a.Instance || before.renewed.IsZero()
 	d.mu.Unlock()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -90,7 +90,6 @@
 	instance string
 	leaving  bool
 	renewed  time.Time
-	slots    int
 }
 
 type doors struct {
--- a/message.go
+++ b/message.go
@@ -29,9 +29,7 @@
 	Retries  Tokens
 	Ticket   Ticket
 	Key      string
-	// Parent is the context token of the call that caused this one.
-	Parent  string
-	Payload Payload
+	Payload  Payload
 }
 
 // Load is what a home tells of itself on every answer.
