Serve in the own data centre as far as the objective allows; send ids once

A home elsewhere was chosen as soon as it was a quarter faster, and the id of a request went over a link four times (field, header, answer's field, answer's header), the caller's service twice. Change: a home of the own data centre that has room goes first while three times its expected time fits the route's objective. platform/ takes the id and the caller's service out of the headers that travel and writes them from the call; an answer on a link carries no id, its number finds the call and its nonce proves it. A nonce is one random word. The entry reads its service at each call, so that a reload of the settings is seen.

--- a/core/entry/arrive.go
+++ b/core/entry/arrive.go
@@ -22,7 +22,7 @@
 		ID:            a.ID,
 		Nonce:         e.nonce(),
 		Target:        a.Target,
-		Caller:        e.cfg.Service,
+		Caller:        e.cfg.Service(),
 		NonIdempotent: policy.NonIdempotent,
 		Attempt:       a.Attempt,
 		Ticket:        a.Ticket,
@@ -125,5 +125,5 @@
 }
 
 func (e *Entry) nonce() teaseltack.Nonce {
-	return teaseltack.Nonce(strconv.FormatUint(e.cfg.Source.Uint64(), 36) + strconv.FormatUint(e.cfg.Source.Uint64(), 36))
+	return teaseltack.Nonce(strconv.FormatUint(e.cfg.Source.Uint64(), 36))
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -49,8 +49,9 @@
 	Timers teaseltack.Timers
 	Source teaseltack.Source
 	Host   teaseltack.HostID
-	// Service runs on the host; it is told to homes.
-	Service  teaseltack.Service
+	// Service returns the service that runs on the host; it is told to homes, and
+	// may be nil.
+	Service  func() teaseltack.Service
 	Policies teaseltack.Policies
 	Router   *route.Router
 	Pressure *press.Table
@@ -114,6 +115,9 @@
 	if cfg.Retries.Share == 0 && cfg.Retries.Slack == 0 {
 		cfg.Retries = ratio.Config{Timers: cfg.Timers, Share: retryShare, Slack: retrySlack}
 	}
+	if cfg.Service == nil {
+		cfg.Service = func() teaseltack.Service { return "" }
+	}
 	return &Entry{cfg: cfg, budgets: map[teaseltack.Target]*ratio.Budget{}, inner: map[teaseltack.Target]bool{}}
 }
 
@@ -254,6 +258,7 @@
 		Method:        j.call.Target.Method,
 		Bucket:        j.call.Priority.Bucket(),
 		Tried:         j.tried,
+		Objective:     j.policy.Objective,
 		Probe:         !j.call.NonIdempotent,
 		AvoidShedding: len(j.tried) > 0 && j.call.Priority.Class != teaseltack.ClassProtected && !e.cfg.Greedy,
 	}
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -62,22 +62,34 @@
 }
 
 // choose takes the best of two random homes of the own data centre and two
-// others. Sampling keeps entries from crowding at the same best home.
-func (r *Router) choose(local, remote []*home, now time.Time) *home {
+// others. Sampling keeps entries from crowding at the same best home. A home of
+// the own data centre that has room and is fast enough for the objective goes
+// before a faster one elsewhere, since bytes between data centres are paid for.
+func (r *Router) choose(local, remote []*home, objective time.Duration, now time.Time) *home {
 	if r.cfg.Uniform {
 		all := slices.Concat(local, remote)
 		return all[r.cfg.Source.Uint64()%uint64(len(all))]
 	}
-	sampled := append(r.sample(local), r.sample(remote)...)
-	least := leastWork(sampled)
-	best := sampled[0]
-	bestTime := r.expected(best, least, now)
-	for _, h := range sampled[1:] {
-		if t := r.expected(h, least, now); t < bestTime {
+	near, far := r.sample(local), r.sample(remote)
+	least := leastWork(append(near, far...))
+	best, bestTime := r.best(near, least, now)
+	if best != nil && objective >= objectiveSpread*bestTime && best.room(now) {
+		return best
+	}
+	if other, t := r.best(far, least, now); best == nil || other != nil && t < bestTime {
+		return other
+	}
+	return best
+}
+
+// best returns the home that is expected to answer first, or nil.
+func (r *Router) best(homes []*home, least time.Duration, now time.Time) (best *home, bestTime time.Duration) {
+	for _, h := range homes {
+		if t := r.expected(h, least, now); best == nil || t < bestTime {
 			best, bestTime = h, t
 		}
 	}
-	return best
+	return best, bestTime
 }
 
 // sample returns up to two different homes.
@@ -105,16 +117,8 @@
 // lately is taken to be as fast as the fastest other choice.
 func (r *Router) expected(h *home, least time.Duration, now time.Time) time.Duration {
 	work := h.work
-	limit := max(h.record.Slots/coldShare, 1)
-	inFlight := h.outstanding
-	if age := now.Sub(h.toldAt); age < loadAge && h.load.Limit > 0 {
-		weight := float64(loadAge-age) / float64(loadAge)
-		limit = h.load.Limit
-		inFlight = max(inFlight, int(weight*float64(h.load.InFlight)))
-	} else {
-		work = least
-	}
-	if work == 0 {
+	inFlight, limit, told := h.occupancy(now)
+	if work == 0 || !told {
 		work = least
 	}
 	took := work
--- a/core/route/home.go
+++ b/core/route/home.go
@@ -67,3 +67,20 @@
 	}
 	h.failing += weight * (share - h.failing)
 }
+
+// occupancy returns the calls at the home, its limit, and whether it told them
+// lately; what it told fades with its age.
+func (h *home) occupancy(now time.Time) (inFlight, limit int, told bool) {
+	age := now.Sub(h.toldAt)
+	if age >= loadAge || h.load.Limit == 0 {
+		return h.outstanding, max(h.record.Slots/coldShare, 1), false
+	}
+	weight := float64(loadAge-age) / float64(loadAge)
+	return max(h.outstanding, int(weight*float64(h.load.InFlight))), h.load.Limit, true
+}
+
+// room reports whether a call would run at once.
+func (h *home) room(now time.Time) bool {
+	inFlight, limit, _ := h.occupancy(now)
+	return inFlight < limit
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -43,6 +43,11 @@
 	// as a part of it: bytes between data centres are priced, and a small gain is
 	// not worth the way.
 	remoteShare = 0.25
+	// objectiveSpread is the number of expected times that have to fit into a
+	// call's objective before the own data centre is preferred at any difference:
+	// the slowest call in a hundred takes about three times the mean on the users'
+	// sheets.
+	objectiveSpread = 3
 	// delayMemory is the number of answers in which a measured delay that was
 	// too short is forgotten.
 	delayMemory = 256
@@ -148,6 +153,9 @@
 	Tried []teaseltack.HostID
 	// Probe allows the call to test a home that was ejected.
 	Probe bool
+	// Objective is the time within which an answer has its full worth; zero where
+	// none is known.
+	Objective time.Duration
 	// AvoidShedding leaves out the homes that shed the call.
 	AvoidShedding bool
 }
@@ -165,7 +173,7 @@
 	}
 	h := dueForProbe(local)
 	if h == nil || !req.Probe {
-		h = r.choose(local, remote, now)
+		h = r.choose(local, remote, req.Objective, now)
 	}
 	h.outstanding++
 	if !h.ejectedUntil.IsZero() {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -179,3 +179,41 @@
 		})
 	}
 }
+
+// TestTheOwnDataCentreServesWhatTheObjectiveAllows has a faster home elsewhere.
+func TestTheOwnDataCentreServesWhatTheObjectiveAllows(t *testing.T) {
+	const slow, fast = 100 * time.Millisecond, 40 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		objective time.Duration
+		inFlight  int
+		local     bool
+	}{
+		{"objective far above the work", 20 * slow, 1, true},
+		{"objective near the work", 2 * slow, 1, false},
+		{"no objective", 0, 1, false},
+		{"no room", 20 * slow, 10, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRouter(append(records("a", 1), records("b", 1)...)...)
+				call := anyCall
+				call.Objective = c.objective
+				tell := map[teaseltack.HostID]route.Word{
+					"a-0": answered(teaseltack.Load{Limit: 10, InFlight: c.inFlight}, slow),
+					"b-0": answered(teaseltack.Load{Limit: 10, InFlight: 1}, fast),
+				}
+				for _, other := range []teaseltack.HostID{"a-0", "b-0"} {
+					first := call
+					first.Tried = []teaseltack.HostID{other}
+					record, ok := r.Pick(first)
+					assert.Assert(t, ok)
+					r.Done(record, tell[record.Host])
+				}
+				record, ok := r.Pick(call)
+				assert.Assert(t, ok)
+				assert.Equal(t, record.Host == "a-0", c.local)
+			})
+		})
+	}
+}
--- a/io/link/pipe.go
+++ b/io/link/pipe.go
@@ -57,6 +57,8 @@
 
 // outgoing is a call that waits for its answer.
 type outgoing struct {
+	// id is not sent back: the number finds it, and the nonce proves it.
+	id   teaseltack.RequestID
 	done chan outcome
 	once bool
 }
@@ -112,7 +114,7 @@
 // call sends a call and waits for its answer.
 func (p *pipe) call(ctx context.Context, to teaseltack.HostID, call *teaseltack.Call) (*teaseltack.Answer, error) {
 	number := p.numbers.Add(1)
-	waiting := &outgoing{done: make(chan outcome, 1), once: call.NonIdempotent}
+	waiting := &outgoing{id: call.ID, done: make(chan outcome, 1), once: call.NonIdempotent}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -140,14 +142,16 @@
 	return nil, teaseltack.Doubt(teaseltack.ReasonLifetime, "host %s did not answer in time", to)
 }
 
-func (p *pipe) finish(number uint64, end outcome) {
+func (p *pipe) finish(number uint64, answer *teaseltack.Answer) {
 	p.mu.Lock()
 	waiting := p.calls[number]
 	delete(p.calls, number)
 	p.mu.Unlock()
-	if waiting != nil {
-		waiting.done <- end
+	if waiting == nil {
+		return
 	}
+	answer.ID = waiting.id
+	waiting.done <- outcome{answer: answer}
 }
 
 // watch looks after a link while calls are under way; called with the lock.
@@ -231,7 +235,7 @@
 	case f.Call != nil:
 		p.start(f.Number, f.Call)
 	case f.Answer != nil:
-		p.finish(f.Number, outcome{answer: wire.Codec{}.AnswerIn(f.Answer)})
+		p.finish(f.Number, wire.Codec{}.AnswerIn(f.Answer))
 	case f.Cancel:
 		p.mu.Lock()
 		cancel := p.running[f.Number]
@@ -308,7 +312,9 @@
 }
 
 func (p *pipe) answer(number uint64, a *teaseltack.Answer) {
-	p.send(&peerv1.Frame{Number: number, Answer: wire.Codec{}.AnswerOut(a)})
+	answer := wire.Codec{}.AnswerOut(a)
+	answer.RequestId = ""
+	p.send(&peerv1.Frame{Number: number, Answer: answer})
 }
 
 // close ends the link: its own calls may have run, and the peer's are cancelled.
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -133,7 +133,7 @@
 	started := s.timers.Now()
 	incarnation := teaseltack.Incarnation(source.Uint64() >> 1)
 	store := platform.NewStore(c.PlatformAddress)
-	s.translator = platform.Translator{Service: s.service, Draw: source.Uint64}
+	s.translator = platform.Translator{Draw: source.Uint64}
 	s.metrics = metric.New(s.gauges())
 	s.keeper = beats.New(beats.Config{Silence: silentBeats * seconds(c.HeartbeatS)})
 	s.departed = depart.New(depart.Config{Store: store, Key: leftPrefix + c.Host})
@@ -177,7 +177,7 @@
 	s.entry = entry.New(entry.Config{
 		Timers: s.timers, Source: source, Host: host, Policies: s.follower, Router: s.router, Pressure: s.press,
 		Scopes: scopes, Homes: s.links, Local: s.home, Observe: s.metrics, FreeMoves: true, Witness: tracer,
-		Service: teaseltack.Service(c.Service), Depth: s.depth, RepeatFailed: true,
+		Service: s.service, Depth: s.depth, RepeatFailed: true,
 		Retries:     ratio.Config{Share: retryPart * c.RetryRatio, Window: seconds(c.RetryWindowS)},
 		RepeatPrice: repeatPrice,
 	})
