Serve the status of a daemon on the users' platform

Cause: teaseltack status spoke to the operators' door, which the platform's mode does not start; gauges for ejected homes and cut data centres were always 0 there, and nothing told what is left of the retries or how many log lines were left out. Change: GetStatus at the metrics door, with the own server's load and limit, the age of the configuration, what each host told last, whether it is in reach, and the retries left per target; gauges from the same state; a gauge that has no source is not registered. Other operators' calls answer unimplemented there: the platform's store holds the configuration. Test: TestTheStatusTellsWhatADaemonKnows.

--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// Budgets returns the retries left for each target.
+func (e *Entry) Budgets() map[teaseltack.Target]float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	left := make(map[teaseltack.Target]float64, len(e.budgets))
+	for target, b := range e.budgets {
+		left[target] = b.Left()
+	}
+	return left
+}
+
 // journey is one request on its way through this entry.
 type journey struct {
 	call   teaseltack.Call
--- a/core/ratio/ratio.go
+++ b/core/ratio/ratio.go
@@ -85,13 +85,26 @@
 	b.calls[b.current%(2*slices)]++
 }
 
+// Left returns the retries that the window still allows.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	return max(b.allowed()-b.sum(&b.spent, 0), 0)
+}
+
+// allowed returns the retries that the window allows in all.
+func (b *Budget) allowed() float64 {
+	calls := max(b.sum(&b.calls, 0), b.sum(&b.calls, slices/2), b.sum(&b.calls, slices))
+	return b.cfg.Share*calls + b.cfg.Slack
+}
+
 // Spend uses up the price of a retry and reports whether the budget allowed it.
 func (b *Budget) Spend(price float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
-	calls := max(b.sum(&b.calls, 0), b.sum(&b.calls, slices/2), b.sum(&b.calls, slices))
-	if b.sum(&b.spent, 0)+price > b.cfg.Share*calls+b.cfg.Slack {
+	if b.sum(&b.spent, 0)+price > b.allowed() {
 		return false
 	}
 	b.spent[b.current%(2*slices)] += price
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -286,16 +286,30 @@
 	return r.find(teaseltack.Record{Service: service, Host: host}) != nil
 }
 
-// Ejected reports whether the host is ejected now.
-func (r *Router) Ejected(host teaseltack.HostID) bool {
+// View is what the router knows of a home.
+type View struct {
+	// Ejected says that its calls failed, Down that it is not connected.
+	Ejected, Down bool
+	// Load is what it told last.
+	Load teaseltack.Load
+}
+
+// View returns what is known of the host's home; the zero value without a home.
+func (r *Router) View(host teaseltack.HostID) View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	view := View{Down: r.down[host]}
 	for _, homes := range r.services {
 		for _, h := range homes {
 			if h.record.Host == host {
-				return !h.ejectedUntil.IsZero()
+				view.Ejected, view.Load = !h.ejectedUntil.IsZero(), h.load
 			}
 		}
 	}
-	return false
+	return view
+}
+
+// Ejected reports whether the host is ejected now.
+func (r *Router) Ejected(host teaseltack.HostID) bool {
+	return r.View(host).Ejected
 }
--- a/io/cmds/server.go
+++ b/io/cmds/server.go
@@ -65,10 +65,24 @@
 func printStatus(e *env, s *operatorv1.GetStatusResponse) error {
 	_, _ = fmt.Fprintf(e.stdout, "host %s, generation %d, %d hosts known, %d behind, platform reachable: %t, data centres out of reach: %v\n",
 		s.Host, s.Generation, s.HostsKnown, s.HostsBehind, s.PlatformReachable, s.DataCentresUnreachable)
+	if s.Limit > 0 {
+		_, _ = fmt.Fprintf(e.stdout, "own server: %d calls run or wait, limit %d, admission level %d; generation in force for %.1f s\n",
+			s.InFlight, s.Limit, s.Level, s.GenerationAgeS)
+	}
 	table := newTable(e.stdout)
-	_, _ = fmt.Fprintln(table, "HOST\tDATA-CENTRE\tSERVICE\tSLOTS\tSTATE\tSERVING\tGENERATION\tEJECTED")
+	_, _ = fmt.Fprintln(table, "HOST\tDATA-CENTRE\tSERVICE\tSLOTS\tSTATE\tSERVING\tGENERATION\tEJECTED\tOUT-OF-REACH\tIN-FLIGHT\tLIMIT")
 	for _, h := range s.Hosts {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%t\n", h.Host, h.DataCentre, orDash(h.Service), h.Slots, h.State, h.Serving, h.Generation, h.Ejected)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%t\t%t\t%d\t%d\n", h.Host, h.DataCentre, orDash(h.Service), h.Slots, h.State, h.Serving, h.Generation, h.Ejected, h.OutOfReach, h.InFlight, h.Limit)
+	}
+	if len(s.RetryBudgets) == 0 {
+		return table.Flush()
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(table, "TARGET\tRETRIES-LEFT")
+	for _, b := range s.RetryBudgets {
+		_, _ = fmt.Fprintf(table, "%s/%s\t%.1f\n", b.Service, b.Method, b.Left)
 	}
 	return table.Flush()
 }
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -59,6 +59,14 @@
 	return p.pipe, nil
 }
 
+// Connected reports whether there is a link to the host that was dialled here.
+func (l *Links) Connected(host teaseltack.HostID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[host]
+	return p != nil && p.pipe != nil
+}
+
 func unconnected(to teaseltack.Record) error {
 	return teaseltack.Refuse(teaseltack.ReasonConnection, "host %s is not connected", to.Host)
 }
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -12,7 +12,7 @@
 	"teaseltack"
 )
 
-// Gauges are read at each scrape.
+// Gauges are read at each scrape; Behind may be nil as well.
 type Gauges struct {
 	Load       func() teaseltack.Load
 	Generation func() float64
@@ -22,6 +22,12 @@
 	Platform   func() float64
 	Cut        func() float64
 	Ejected    func() float64
+	// Budget returns the retries left for the target that has fewest; it may be
+	// nil.
+	Budget func() float64
+	// Age returns the seconds since the configuration came into force; it may be
+	// nil.
+	Age func() float64
 }
 
 // Metrics holds the counters; the number of label values is bounded.
@@ -32,6 +38,7 @@
 	retries  *prometheus.CounterVec
 	work     *prometheus.HistogramVec
 	platform *prometheus.CounterVec
+	lines    *prometheus.CounterVec
 	mu       sync.Mutex
 	services map[string]bool
 }
@@ -64,12 +71,13 @@
 		refused:  counter("refused_total", "Refusals given, by service, class, reason and verdict.", "service", "class", "reason", "verdict"),
 		retries:  counter("retries_total", "Retries sent, by service.", "service"),
 		platform: counter("platform_calls_total", "Calls to the platform, by kind and result.", "kind", "result"),
+		lines:    counter("log_lines_left_out_total", "Log lines of decisions left out to bound the volume, by step.", "step"),
 		work: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "work_seconds", Help: "Time at the backend server per whole answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.answered, m.refused, m.retries, m.platform, m.work,
+	m.registry.MustRegister(m.answered, m.refused, m.retries, m.platform, m.lines, m.work,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(g)
 	return m
@@ -83,6 +91,9 @@
 
 func (m *Metrics) registerGauges(g Gauges) {
 	add := func(name, help string, read func() float64) {
+		if read == nil {
+			return
+		}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
 	}
 	add("concurrency_limit", "Calls that may run at the backend server at once.", func() float64 { return float64(g.Load().Limit) })
@@ -95,6 +106,8 @@
 	add("platform_reachable", "1 while the platform answers.", g.Platform)
 	add("homes_ejected", "Homes that this entry ejected.", g.Ejected)
 	add("data_centres_unreachable", "Data centres out of reach.", g.Cut)
+	add("retry_budget_left", "Retries left for the target that has fewest.", g.Budget)
+	add("generation_age_seconds", "Time since the generation came into force here.", g.Age)
 }
 
 // Answered counts an answer or a refusal of the entry.
@@ -125,6 +138,11 @@
 	m.platform.WithLabelValues(kind, result).Inc()
 }
 
+// LineLeft counts a log line of a decision that was left out.
+func (m *Metrics) LineLeft(step teaseltack.Step) {
+	m.lines.WithLabelValues(string(step)).Inc()
+}
+
 // Handler serves the metrics in the Prometheus format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -132,6 +132,7 @@
 	if serving == teaseltack.Ready && !s.cfg.Router.Has(r.Service, r.Host) {
 		serving = teaseltack.Absent
 	}
+	view := s.cfg.Router.View(r.Host)
 	return &operatorv1.HostStatus{
 		Host:       string(r.Host),
 		DataCentre: string(r.DataCentre),
@@ -140,6 +141,8 @@
 		Serving:    serving.String(),
 		Generation: uint64(r.Generation),
 		Slots:      uint32(r.Slots),
-		Ejected:    s.cfg.Router.Ejected(r.Host),
+		Ejected:    view.Ejected,
+		InFlight:   uint32(view.Load.InFlight),
+		Limit:      uint32(view.Load.Limit),
 	}
 }
--- a/io/side/doors.go
+++ b/io/side/doors.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"teaseltack"
+	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/io/config"
 	"teaseltack/io/inlet"
 	"teaseltack/io/metric"
@@ -63,6 +65,7 @@
 	}})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operator{side: s}))
 	s.scrape = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 }
 
@@ -100,7 +103,6 @@
 	return metric.Gauges{
 		Load:       func() teaseltack.Load { return s.gate.Summary() },
 		Generation: func() float64 { generation, _ := s.follower.News(); return float64(generation) },
-		Behind:     func() float64 { return 0 },
 		Hosts:      func() float64 { return float64(len(s.roster.Records())) },
 		Tickets:    func() float64 { return float64(s.tickets.Len()) },
 		Platform: func() float64 {
@@ -109,7 +111,21 @@
 			}
 			return 1
 		},
-		Cut:     func() float64 { return 0 },
-		Ejected: func() float64 { return 0 },
+		Cut:     func() float64 { return float64(len(s.unreached())) },
+		Ejected: func() float64 { return float64(s.ejected()) },
+		Budget: func() float64 {
+			least := math.Inf(1)
+			for _, left := range s.entry.Budgets() {
+				least = min(least, left)
+			}
+			return least
+		},
+		Age: func() float64 {
+			since := s.configuredAt.Load()
+			if since == nil {
+				return math.Inf(1)
+			}
+			return s.timers.Now().Sub(*since).Seconds()
+		},
 	}
 }
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -116,7 +116,9 @@
 	stopping  atomic.Bool
 	closing   atomic.Bool
 	storeDown atomic.Bool
-	stops     []func()
+	// configuredAt is when the configuration came into force; nil before the first.
+	configuredAt atomic.Pointer[time.Time]
+	stops        []func()
 }
 
 // New returns a daemon with open doors; Run serves them.
@@ -156,7 +158,7 @@
 	tracer := trace.New(trace.Config{Timers: s.timers, Log: s.log, Generation: func() teaseltack.Generation {
 		generation, _ := s.follower.News()
 		return generation
-	}})
+	}, Left: s.metrics.LineLeft})
 	scopes := scope.New(scope.Config{Source: source})
 	s.home = home.New(home.Config{
 		Timers: s.timers, Host: host, Gate: s.gate, Server: &server{side: s},
@@ -197,6 +199,8 @@
 // configured takes a new configuration into force.
 func (s *Sidecar) configured(table *rules.Table, from string) {
 	c := table.Config()
+	now := s.timers.Now()
+	s.configuredAt.Store(&now)
 	s.log.Info("configuration in force", "generation", c.Generation, "rules", len(c.Rules), "from", from)
 	s.resize(s.keeper.Server(), false)
 	s.links.Spread()
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/platform/stand"
 )
 
@@ -212,6 +216,27 @@
 	}
 }
 
+// TestTheStatusTellsWhatADaemonKnows reads it as operators do.
+func TestTheStatusTellsWhatADaemonKnows(t *testing.T) {
+	t.Parallel()
+	w := twoServices(t)
+	assert.Assert(t, w.serves(w.hosts[0], "/read/x"))
+	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+w.hosts[0].side.Addresses().Metrics)
+	response, err := client.GetStatus(t.Context(), connect.NewRequest(&operatorv1.GetStatusRequest{}))
+	assert.NilError(t, err)
+	status := response.Msg
+	assert.Equal(t, status.Host, w.hosts[0].name)
+	assert.Equal(t, status.Generation, uint64(w.version))
+	assert.Equal(t, len(status.Hosts), len(w.hosts))
+	assert.Assert(t, status.PlatformReachable && status.Limit > 0 && status.GenerationAgeS > 0)
+	for _, h := range status.Hosts {
+		assert.Equal(t, h.Serving, "ready", h.Host)
+	}
+	assert.Assert(t, slices.ContainsFunc(status.RetryBudgets, func(b *operatorv1.RetryBudget) bool { return b.Service == "orders" && b.Left > 0 }))
+	_, err = client.ApplyPolicies(t.Context(), connect.NewRequest(&operatorv1.ApplyPoliciesRequest{}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeUnimplemented)
+}
+
 func TestNestedCallsComeBackThroughTheOwnDaemon(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t)
--- /dev/null
+++ b/io/side/status.go
@@ -0,0 +1,93 @@
+package side
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"teaseltack"
+	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
+)
+
+// operator answers operators at the metrics door. On the platform the
+// configuration is changed in the store, so that only the status is served.
+type operator struct {
+	operatorv1connect.UnimplementedOperatorServiceHandler
+	side *Sidecar
+}
+
+// GetStatus reads what this daemon knows.
+func (o *operator) GetStatus(context.Context, *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+	s := o.side
+	generation, _ := s.follower.News()
+	load := s.gate.Summary()
+	status := &operatorv1.GetStatusResponse{
+		Host: s.settings.Host, Generation: uint64(generation), PlatformReachable: !s.storeDown.Load(),
+		InFlight: uint32(load.InFlight), Limit: uint32(load.Limit), Level: uint32(load.Level),
+	}
+	if since := s.configuredAt.Load(); since != nil {
+		status.GenerationAgeS = s.timers.Now().Sub(*since).Seconds()
+	}
+	records := s.roster.Records()
+	slices.SortFunc(records, func(a, b teaseltack.Record) int { return cmp.Compare(a.Host, b.Host) })
+	for _, r := range records {
+		status.Hosts = append(status.Hosts, s.hostStatus(r))
+	}
+	status.HostsKnown = uint32(len(records))
+	for _, name := range s.unreached() {
+		status.DataCentresUnreachable = append(status.DataCentresUnreachable, string(name))
+	}
+	for target, left := range s.entry.Budgets() {
+		status.RetryBudgets = append(status.RetryBudgets, &operatorv1.RetryBudget{Service: string(target.Service), Method: string(target.Method), Left: left})
+	}
+	slices.SortFunc(status.RetryBudgets, func(a, b *operatorv1.RetryBudget) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Method, b.Method))
+	})
+	return connect.NewResponse(status), nil
+}
+
+func (s *Sidecar) hostStatus(r teaseltack.Record) *operatorv1.HostStatus {
+	view := s.router.View(r.Host)
+	return &operatorv1.HostStatus{
+		Host: string(r.Host), DataCentre: string(r.DataCentre), Service: string(r.Service),
+		State: r.State.String(), Serving: r.Serving.String(), Slots: uint32(r.Slots),
+		Ejected: view.Ejected, OutOfReach: view.Down, InFlight: uint32(view.Load.InFlight), Limit: uint32(view.Load.Limit),
+	}
+}
+
+// ejected counts the homes that this entry ejected.
+func (s *Sidecar) ejected() int {
+	count := 0
+	for _, r := range s.roster.Records() {
+		if s.router.View(r.Host).Ejected {
+			count++
+		}
+	}
+	return count
+}
+
+// unreached returns the other data centres of whose hosts none is connected and
+// two or more were lost.
+func (s *Sidecar) unreached() []teaseltack.DataCentre {
+	const leastLost = 2
+	lost, connected := map[teaseltack.DataCentre]int{}, map[teaseltack.DataCentre]bool{}
+	for _, r := range s.roster.Records() {
+		switch {
+		case s.router.View(r.Host).Down:
+			lost[r.DataCentre]++
+		case r.Host == teaseltack.HostID(s.settings.Host) || s.links.Connected(r.Host):
+			connected[r.DataCentre] = true
+		}
+	}
+	var names []teaseltack.DataCentre
+	for name, count := range lost {
+		if count >= leastLost && !connected[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
