Give a restarted daemon's server no work before its leavings are read; probe a cut data centre

Change: until the leavings are read, 1.5 s at most, the server counts as absent; the state is read and applied under one lock. Test: TestAServerGetsNoWorkBeforeItsLeavingsAreRead (ready in place of absent before). Cause, cuts: each link finds its own silence 0.7 s after a call met it, so in a cut every idle link to the far data centre holds a call up once. Change: when a host falls silent the other hosts of its data centre are asked for a sign of life. Test: TestOneSilentHostLetsItsDataCentreBeProbed (times out before).

--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -155,6 +155,33 @@
 	assert.Assert(t, !<-confirmed)
 }
 
+// TestOneSilentHostLetsItsDataCentreBeProbed cuts two hosts of one data centre
+// off: the call that meets the first finds the second as well.
+func TestOneSilentHostLetsItsDataCentreBeProbed(t *testing.T) {
+	a, b, c := newNode(t, "a"), newNode(t, "b"), newNode(t, "c")
+	var relays []*relay
+	var cut []teaseltack.Record
+	for _, n := range []*node{b, c} {
+		r := newRelay(t, n.record.PeerAddress)
+		record := n.record
+		record.PeerAddress, record.DataCentre = r.listener.Addr().String(), "far"
+		_, err := a.links.Forward(t.Context(), record, call("first", false))
+		assert.NilError(t, err)
+		assert.Assert(t, <-a.reached)
+		relays, cut = append(relays, r), append(cut, record)
+	}
+	for _, r := range relays {
+		r.silent.Store(true)
+		_ = r.listener.Close()
+	}
+	_, err := a.links.Forward(t.Context(), cut[0], call("again", false))
+	assertVerdict(t, err, teaseltack.MayHaveRun)
+	assert.Assert(t, !<-a.reached)
+	assert.Assert(t, !<-a.reached)
+	_, err = a.links.Forward(t.Context(), cut[1], call("other", true))
+	assertVerdict(t, err, teaseltack.NotRun)
+}
+
 func TestACallerThatLeavesCancelsTheCall(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	started, ended := make(chan struct{}), make(chan struct{})
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -115,15 +115,33 @@
 	}
 }
 
-// lose takes a broken or silent link out of use and connects anew.
-func (l *Links) lose(p *peer, broken *pipe) {
+// lose takes a broken or silent link out of use and connects anew. It reports
+// whether the link was in use.
+func (l *Links) lose(p *peer, broken *pipe) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p.pipe != broken {
-		return
+		return false
 	}
 	p.pipe = nil
 	if !p.dropped && l.peers[p.record.Host] == p {
 		l.dialSoon(p)
 	}
+	return true
+}
+
+// probe asks the other hosts of a data centre for a sign of life once one of its
+// hosts fell silent, so that a cut is found before a call meets it on each link.
+func (l *Links) probe(name teaseltack.DataCentre) {
+	l.mu.Lock()
+	var pipes []*pipe
+	for _, p := range l.peers {
+		if p.pipe != nil && p.record.DataCentre == name {
+			pipes = append(pipes, p.pipe)
+		}
+	}
+	l.mu.Unlock()
+	for _, p := range pipes {
+		p.probe()
+	}
 }
--- a/io/link/pipe.go
+++ b/io/link/pipe.go
@@ -57,6 +57,9 @@
 	// holds has the calls that wait for the word of their entry.
 	holds    map[uint64]chan struct{}
 	watching bool
+	// probedAt is when a sign of life was asked without a call under way; 0 once it
+	// came.
+	probedAt int64
 	closed   bool
 }
 
@@ -199,7 +202,10 @@
 	quiet := time.Duration(now.UnixNano() - p.heardAt.Load())
 	p.mu.Lock()
 	p.watching = false
-	if p.closed || len(p.calls) == 0 {
+	if p.heardAt.Load() > p.probedAt {
+		p.probedAt = 0
+	}
+	if p.closed || len(p.calls) == 0 && p.probedAt == 0 {
 		p.mu.Unlock()
 		return
 	}
@@ -217,7 +223,9 @@
 // were not told to proceed, fail, so that they are tried elsewhere; the others
 // wait on, as their home may only be held up.
 func (p *pipe) abandon() {
-	p.links.lose(p.peer, p)
+	if p.links.lose(p.peer, p) {
+		p.links.probe(p.peer.record.DataCentre)
+	}
 	p.mu.Lock()
 	var failed []*outgoing
 	for number, c := range p.calls {
@@ -232,6 +240,15 @@
 	}
 }
 
+// probe asks a link, which may have no calls under way, for a sign of life.
+func (p *pipe) probe() {
+	p.mu.Lock()
+	p.resume()
+	p.probedAt = p.links.cfg.Timers.Now().UnixNano()
+	p.mu.Unlock()
+	p.ping()
+}
+
 func (p *pipe) ping() {
 	p.send(&peerv1.Frame{Ping: p.links.pingOf()})
 }
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -47,7 +47,7 @@
 	}
 	s.pool.SetAddress(s.settings.ServerAddress)
 	s.resize(server, change == beats.Started)
-	s.applyServing(server)
+	s.applyServing()
 	if server.Serving == teaseltack.Leaving {
 		s.keepLeaving(beats.Gone{Instance: server.Instance, BornMs: server.BornMs})
 	}
@@ -57,8 +57,8 @@
 
 // Leave takes the word of a backend server that it leaves for good.
 func (s *Sidecar) Leave(instance teaseltack.InstanceID) error {
-	server, gone := s.keeper.Leave(instance, s.timers.Now())
-	s.applyServing(server)
+	_, gone := s.keeper.Leave(instance, s.timers.Now())
+	s.applyServing()
 	s.keepLeaving(gone)
 	s.log.Info("server leaves", "instance", gone.Instance, "born-ms", gone.BornMs)
 	return nil
@@ -77,15 +77,21 @@
 	}
 }
 
+// recallTime bounds the time after the start in which the server gets no work
+// because the store has not told whether it left in an earlier life of this
+// daemon; a heartbeat takes about as long.
+const recallTime = 1500 * time.Millisecond
+
 // recallLeavings reads what an earlier life of this daemon confirmed.
 func (s *Sidecar) recallLeavings(ctx context.Context) {
 	const pause = 500 * time.Millisecond
+	stop := s.timers.After(recallTime, s.recalledNow)
+	defer stop()
 	for ctx.Err() == nil {
 		list, err := s.departed.Read(ctx)
 		if err == nil {
-			if server, left := s.keeper.Remember(list); left {
-				s.applyServing(server)
-			}
+			s.keeper.Remember(list)
+			s.recalledNow()
 			return
 		}
 		s.log.Warn("leavings not read", "error", err)
@@ -93,9 +99,22 @@
 	}
 }
 
-// applyServing binds the home first and then tells the other hosts.
-func (s *Sidecar) applyServing(server beats.Server) {
+// recalledNow lets the server get work, unless it has left.
+func (s *Sidecar) recalledNow() {
+	s.recalled.Store(true)
+	s.applyServing()
+}
+
+// applyServing binds the home first and then tells the other hosts. It reads the
+// state itself, so that of two at once the later one applies the newer state.
+func (s *Sidecar) applyServing() {
+	s.serving.Lock()
+	defer s.serving.Unlock()
+	server := s.keeper.Server()
 	serving := server.Serving
+	if !s.recalled.Load() && serving == teaseltack.Ready {
+		serving = teaseltack.Absent
+	}
 	if s.stopping.Load() && serving == teaseltack.Ready {
 		serving = teaseltack.Leaving
 	}
@@ -126,7 +145,7 @@
 		return
 	}
 	s.log.Warn("server silent", "instance", server.Instance)
-	s.applyServing(server)
+	s.applyServing()
 }
 
 func answeredByStore(err error) bool {
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -118,7 +119,11 @@
 	storeDown atomic.Bool
 	// configuredAt is when the configuration came into force; nil before the first.
 	configuredAt atomic.Pointer[time.Time]
-	stops        []func()
+	// recalled is set once it is known whether the server left before the start.
+	recalled atomic.Bool
+	// serving serialises what the home and the other hosts are told of the server.
+	serving sync.Mutex
+	stops   []func()
 }
 
 // New returns a daemon with open doors; Run serves them.
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -150,6 +150,38 @@
 	assert.Equal(t, len(left.server.Runs()), before)
 }
 
+// TestAServerGetsNoWorkBeforeItsLeavingsAreRead restarts the daemon of a server
+// that left while the store does not answer; a late heartbeat must not bring the
+// server back.
+func TestAServerGetsNoWorkBeforeItsLeavingsAreRead(t *testing.T) {
+	t.Parallel()
+	w := twoServices(t)
+	left := w.hosts[0]
+	assert.NilError(t, left.server.Deregister())
+	left.stop()
+	assert.NilError(t, <-left.done)
+	w.store.SetFault(stand.Silent)
+	w.start(left)
+	assert.NilError(t, left.server.Beat())
+	assert.Equal(t, left.serving(t), "absent")
+	w.store.SetFault(stand.Sound)
+	w.await("the leaving", func() bool { return left.serving(t) == "leaving" })
+}
+
+// serving returns what the host's daemon says of its server.
+func (h *host) serving(t *testing.T) string {
+	t.Helper()
+	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+h.side.Addresses().Metrics)
+	response, err := client.GetStatus(t.Context(), connect.NewRequest(&operatorv1.GetStatusRequest{}))
+	assert.NilError(t, err)
+	for _, known := range response.Msg.Hosts {
+		if known.Host == h.name {
+			return known.Serving
+		}
+	}
+	return ""
+}
+
 func TestServingGoesOnWithoutTheStore(t *testing.T) {
 	t.Parallel()
 	for name, fault := range map[string]stand.Fault{"busy": stand.Busy, "silent": stand.Silent} {
--- a/io/side/stop.go
+++ b/io/side/stop.go
@@ -23,7 +23,7 @@
 func (s *Sidecar) shutdown(hard context.Context) error {
 	s.log.Info("stopping", "in-flight", s.home.InFlight(), "requests", s.outer.Busy())
 	s.stopping.Store(true)
-	s.applyServing(s.keeper.Server())
+	s.applyServing()
 	s.outer.CloseKept()
 	started := s.timers.Now()
 	bound := seconds(s.settings.GraceS) - exitMargin
