--- /dev/null
+++ b/core/home/run.go
@@ -0,0 +1,199 @@
+package home
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+
+	"teaseltack"
+	"teaseltack/core/purse"
+	"teaseltack/core/scope"
+)
+
+// runOnce attempts a remembered request. A request that was dispatched runs on
+// when its caller leaves, so that a repeat gets its answer.
+func (h *Home) runOnce(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+	done := make(chan *teaseltack.Answer, 1)
+	go func() {
+		answer := h.attempt(ctx, call, key)
+		h.cfg.Tickets.Finish(key, answer)
+		done <- answer
+	}()
+	select {
+	case answer := <-done:
+		return answer
+	case <-ctx.Done():
+	}
+	select {
+	case answer := <-done:
+		return answer
+	default:
+		return &teaseltack.Answer{Refusal: teaseltack.Doubt(teaseltack.ReasonCancelled, "the caller left while the request ran")}
+	}
+}
+
+// attempt passes the gate, checks once more what may have changed while the
+// call waited, and dispatches it.
+func (h *Home) attempt(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+	if refusal := h.checkServing(call.Target.Service); refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	w, refusal := h.pass(ctx, call)
+	if refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	if call.Confirm != nil && !call.Confirm(ctx) {
+		h.cfg.Gate.Release(w, teaseltack.OutcomeCancelled)
+		return refusedAnswer(call, teaseltack.Refuse(teaseltack.ReasonConnection, "the entry did not confirm the call"))
+	}
+	if refusal := h.enter(ctx, call, key); refusal != nil {
+		h.cfg.Gate.Release(w, teaseltack.OutcomeCancelled)
+		return refusedAnswer(call, refusal)
+	}
+	defer h.leave()
+	return h.dispatch(ctx, call, w)
+}
+
+// pass waits before the gate.
+func (h *Home) pass(ctx context.Context, call *teaseltack.Call) (*teaseltack.Waiter, *teaseltack.Refusal) {
+	decided := make(chan *teaseltack.Refusal, 1)
+	w := &teaseltack.Waiter{
+		Method:   call.Target.Method,
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+		Decide:   func(r *teaseltack.Refusal) { decided <- r },
+	}
+	h.cfg.Gate.Offer(w)
+	select {
+	case refusal := <-decided:
+		return w, refusal
+	case <-ctx.Done():
+	}
+	if h.cfg.Gate.Withdraw(w) {
+		return nil, teaseltack.Refuse(teaseltack.ReasonCancelled, "the caller left while the call was queued")
+	}
+	return w, <-decided
+}
+
+// enter is the last check before the dispatch.
+func (h *Home) enter(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if refusal := h.checkServingLocked(call.Target.Service); refusal != nil {
+		return refusal
+	}
+	if ctx.Err() != nil {
+		return teaseltack.Refuse(teaseltack.ReasonCancelled, "the caller left before the dispatch")
+	}
+	if h.late(call) {
+		return teaseltack.Refuse(teaseltack.ReasonLifetime, "the lifetime ended before the dispatch")
+	}
+	if key != "" && h.cfg.Tickets.Expired(key) {
+		return teaseltack.Refuse(teaseltack.ReasonTicketExpired, "the ticket expired before the dispatch")
+	}
+	h.inFlight++
+	return nil
+}
+
+// late compares both clocks: the monotonic one stands still while some hosts
+// are frozen, the wall clock may be set.
+func (h *Home) late(call *teaseltack.Call) bool {
+	now := h.cfg.Timers.Now()
+	return !now.Before(call.Deadline) || !now.Round(0).Before(call.Deadline.Round(0))
+}
+
+func (h *Home) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.inFlight--
+	if h.inFlight == 0 && h.idle != nil {
+		close(h.idle)
+		h.idle = nil
+	}
+}
+
+// Idle returns a channel that is closed once no call runs at the server.
+func (h *Home) Idle() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.inFlight == 0 {
+		idle := make(chan struct{})
+		close(idle)
+		return idle
+	}
+	if h.idle == nil {
+		h.idle = make(chan struct{})
+	}
+	return h.idle
+}
+
+// InFlight returns the number of calls at the server.
+func (h *Home) InFlight() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inFlight
+}
+
+func (h *Home) dispatch(ctx context.Context, call *teaseltack.Call, w *teaseltack.Waiter) *teaseltack.Answer {
+	if call.NonIdempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	started := h.cfg.Timers.Now()
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(started))
+	defer cancel()
+	running := &scope.Scope{
+		Context:  ctx,
+		ID:       call.ID,
+		Target:   call.Target,
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+		Purse:    purse.New(call.Retries),
+	}
+	token := h.cfg.Scopes.Open(running)
+	answer, err := h.cfg.Server.Dispatch(ctx, call, token)
+	left := h.cfg.Scopes.Close(token)
+	work := h.cfg.Timers.Now().Sub(started)
+	below, troubled := h.below(running)
+	w.Below = below
+	waited := w.Started.Sub(w.Arrived) + w.Below
+	h.cfg.Gate.Release(w, outcomeOf(ctx, answer, err))
+	if err != nil {
+		return &teaseltack.Answer{Refusal: teaseltack.AsRefusal(err), RetriesLeft: left, Work: work, Waited: waited}
+	}
+	answer.RetriesLeft = left
+	answer.Work = work
+	answer.Waited = waited
+	answer.Faulty = answer.Erred() && !troubled
+	return answer
+}
+
+func outcomeOf(ctx context.Context, answer *teaseltack.Answer, err error) teaseltack.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return teaseltack.OutcomeCancelled
+	case err != nil && teaseltack.AsRefusal(err).Verdict == teaseltack.NotRun:
+		return teaseltack.OutcomeErrored
+	case err != nil:
+		return teaseltack.OutcomeFailed
+	case answer.Erred():
+		return teaseltack.OutcomeErrored
+	}
+	return teaseltack.OutcomeWhole
+}
+
+// requestSum identifies the content of a request.
+func requestSum(call *teaseltack.Call) [sha256.Size]byte {
+	hash := sha256.New()
+	for _, part := range []string{call.Target.String(), call.Payload.Verb, call.Payload.Query} {
+		writePart(hash, []byte(part))
+	}
+	writePart(hash, call.Payload.Body)
+	return [sha256.Size]byte(hash.Sum(nil))
+}
+
+func writePart(hash interface{ Write([]byte) (int, error) }, part []byte) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = hash.Write(length[:])
+	_, _ = hash.Write(part)
+}
--- a/core/latest/latest.go
+++ b/core/latest/latest.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/pacer"
 	"teaseltack/core/rules"
 )
 
@@ -66,6 +67,7 @@
 // Follower holds the configuration in force. It is safe for concurrent use.
 type Follower struct {
 	cfg     Config
+	pace    *pacer.Pacer
 	ctx     context.Context
 	stop    context.CancelFunc
 	table   atomic.Pointer[rules.Table]
@@ -81,7 +83,7 @@
 
 // New returns a follower without a configuration; Run follows the key.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, back: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, pace: pacer.New(pacer.Config{Timers: cfg.Timers, Source: cfg.Source, First: firstPause}), back: make(chan struct{}, 1)}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	return f
 }
@@ -182,7 +184,7 @@
 func (f *Follower) poll() {
 	for f.ctx.Err() == nil {
 		period := f.cfg.PollPeriod()
-		f.rest(period/2+time.Duration(f.cfg.Source.Uint64()%uint64(period)), nil)
+		f.pace.Rest(f.ctx, period/2+time.Duration(f.cfg.Source.Uint64()%uint64(period)), nil)
 		if f.failing.Load() {
 			continue
 		}
@@ -262,22 +264,8 @@
 }
 
 func (f *Follower) pause(failures int) {
-	length := min(firstPause<<min(failures, 4), longestPause)
-	length = length/2 + time.Duration(f.cfg.Source.Uint64()%uint64(length))
-	f.rest(length, f.back)
+	f.pace.Pause(f.ctx, failures, longestPause, f.back)
 	if f.cfg.Away != nil && f.cfg.Away() {
-		f.rest(awayPause, f.back)
-	}
-}
-
-// rest waits; a nil channel never wakes it.
-func (f *Follower) rest(length time.Duration, woken <-chan struct{}) {
-	over := make(chan struct{})
-	stop := f.cfg.Timers.After(length, func() { close(over) })
-	defer stop()
-	select {
-	case <-over:
-	case <-woken:
-	case <-f.ctx.Done():
+		f.pace.Rest(f.ctx, awayPause, f.back)
 	}
 }
--- a/core/roster/keep.go
+++ b/core/roster/keep.go
@@ -20,7 +20,7 @@
 		err := k.step()
 		r.away.Store(err != nil)
 		if err != nil {
-			r.pause(failures, longestPause, nil)
+			r.pace.Pause(r.ctx, failures, longestPause, nil)
 			failures++
 			continue
 		}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/pacer"
 )
 
 const (
@@ -77,6 +78,7 @@
 // Roster holds the records. It is safe for concurrent use.
 type Roster struct {
 	cfg  Config
+	pace *pacer.Pacer
 	ctx  context.Context
 	stop context.CancelFunc
 	wake chan struct{}
@@ -112,7 +114,7 @@
 // New returns a roster that knows its own record only; Run keeps it.
 func New(cfg Config) *Roster {
 	r := &Roster{
-		cfg: cfg, own: cfg.Own, started: cfg.Timers.Now(), members: map[teaseltack.HostID]*member{},
+		cfg: cfg, pace: pacer.New(pacer.Config{Timers: cfg.Timers, Source: cfg.Source, First: firstPause}), own: cfg.Own, started: cfg.Timers.Now(), members: map[teaseltack.HostID]*member{},
 		wake: make(chan struct{}, 1), back: make(chan struct{}, 1),
 	}
 	r.ctx, r.stop = context.WithCancel(context.Background())
@@ -216,14 +218,6 @@
 	}
 }
 
-// pause waits before the next attempt; it is longer with each failure and drawn
-// at random, so that the fleet does not call in step.
-func (r *Roster) pause(failures int, longest time.Duration, woken <-chan struct{}) {
-	length := min(firstPause<<min(failures, 4), longest)
-	length = length/2 + time.Duration(r.cfg.Source.Uint64()%uint64(length))
-	r.rest(length, woken)
-}
-
 // Away reports whether the store does not renew the lease.
 func (r *Roster) Away() bool {
 	return r.away.Load()
@@ -247,18 +241,6 @@
 	return wished
 }
 
-// rest waits; a nil channel never wakes it.
-func (r *Roster) rest(length time.Duration, woken <-chan struct{}) {
-	over := make(chan struct{})
-	stop := r.cfg.Timers.After(length, func() { close(over) })
-	defer stop()
-	select {
-	case <-over:
-	case <-woken:
-	case <-r.ctx.Done():
-	}
-}
-
 // returned wakes what waits for the store.
 func (r *Roster) returned() {
 	select {
