--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -385,7 +385,10 @@
 			})
 		}
 		time.Sleep(8 * time.Second)
-		assert.Assert(t, store.answered <= mostReads*count, "%d reads of %d hosts", store.answered, count)
+		store.mu.Lock()
+		answered := store.answered
+		store.mu.Unlock()
+		assert.Assert(t, answered <= mostReads*count, "%d reads of %d hosts", answered, count)
 		for _, r := range rosters {
 			assert.Equal(t, len(r.Records()), count)
 		}
