Call an answer that cannot be decoded may-have-run

Cause: connect's client uses invalid_argument also for an answer that it cannot decode, and io/dial took the code for the daemon's rejection. Ruled out: a daemon's own rejection comes over the wire and stays not-run. Before: a peer that handled the call and answered garbage gave bad-request (not-run). After: connection-lost (may-have-run); the test failed first.

--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -93,10 +93,8 @@
 }
 
 // refusalOf converts the error of a call without an answer. The verdict is NotRun if
-// dialling failed, or if the call ended before ctx with the code Unauthenticated or
-// InvalidArgument, and MayHaveRun otherwise. A daemon rejects a call with these codes
-// before it runs; the client sets InvalidArgument also for an answer that it cannot
-// decode.
+// dialling failed, or if the daemon rejected the call before running it, and
+// MayHaveRun otherwise.
 func refusalOf(ctx context.Context, to teaseltack.Record, err error) *teaseltack.Refusal {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
@@ -105,12 +103,20 @@
 	if ctx.Err() != nil {
 		return teaseltack.Uncertain(teaseltack.ReasonLifetime, "no answer from host %s before the deadline passed or the caller disconnected", to.Host)
 	}
-	if code := connect.CodeOf(err); code == connect.CodeUnauthenticated || code == connect.CodeInvalidArgument {
+	if rejected(err) {
 		return teaseltack.Refuse(teaseltack.ReasonBadRequest, "host %s refused the call: %v", to.Host, err)
 	}
 	return teaseltack.Uncertain(teaseltack.ReasonConnection, "the call to host %s failed before its answer was complete: %v", to.Host, err)
 }
 
+// rejected reports whether the daemon rejected the call before running it. The client
+// sets InvalidArgument also for an answer that it cannot decode; such an error did not
+// come from the daemon.
+func rejected(err error) bool {
+	code := connect.CodeOf(err)
+	return connect.IsWireError(err) && (code == connect.CodeUnauthenticated || code == connect.CodeInvalidArgument)
+}
+
 // IssueTickets requests tickets from a home.
 func (c *Client) IssueTickets(ctx context.Context, to teaseltack.Record, target teaseltack.Target, count int) ([]teaseltack.Ticket, error) {
 	response, err := c.clientFor(to.PeerAddress).IssueTickets(ctx, connect.NewRequest(&peerv1.IssueTicketsRequest{
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -190,3 +191,34 @@
 		})
 	}
 }
+
+// Guards against not-run for a call that ran: the client reports an answer that it
+// cannot decode with the code that a daemon uses to reject a malformed call.
+func TestInvalidArgumentIsNotRunOnlyFromThePeer(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer  http.HandlerFunc
+		verdict teaseltack.Verdict
+	}{
+		"undecodable answer": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/proto")
+			_, _ = w.Write([]byte("\xff\xff\xffgarbage"))
+		}, teaseltack.MayHaveRun},
+		"undecodable error": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusBadRequest)
+			_, _ = w.Write([]byte("{"))
+		}, teaseltack.MayHaveRun},
+		"rejected call": {func(w http.ResponseWriter, r *http.Request) {
+			_ = connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeInvalidArgument, errors.New("nonce is empty")))
+		}, teaseltack.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := httpd.Listen(httpd.Config{Name: "peer listener", Address: "127.0.0.1:0"})
+			assert.NilError(t, err)
+			server.Handle(test.answer)
+			go func() { _ = server.Serve() }()
+			err = forward(newClient(""), server.Address(), 5*time.Second)
+			assert.Equal(t, teaseltack.AsRefusal(err).Verdict, test.verdict, "%v", err)
+		})
+	}
+}
--- a/ports.go
+++ b/ports.go
@@ -35,8 +35,7 @@
 	// Forward's error is a *Refusal. Its verdict is NotRun only if the call has not
 	// run and will not: nothing of it was sent, the home's RPC server rejected it as
 	// malformed or unauthenticated, or it needs a confirmation (Call.Confirm) and
-	// got none. io/dial also takes a response that it cannot decode for such a
-	// rejection, though the call may have run.
+	// got none.
 	Forward(ctx context.Context, to Record, call *Call) (*Answer, error)
 	IssueTickets(ctx context.Context, to Record, target Target, count int) ([]Ticket, error)
 }
