Bound the heads and bodies of answers while they are read

Cause: io/pool parsed the head of a server's answer without a bound, and closing a body read it to its end, up to the request's deadline, also one that was too large. Answers that were read at once had no common bound. Ruled out: the library's bounds. It limits chunk overhead and trailers, but neither heads nor the rest of a body that is closed. Change: io/head reads a head up to 64 KiB and 1,000 lines before anything parses it, for io/http1 too; a body grows as its bytes arrive; what all answers hold beyond 64 KiB each is bounded by a quarter of memory-mb. An answer that names no request is taken only as the first on its connection, which then carries no other; on the platform that concerns answers that say that they have not run. HEAD answers with a length were taken as cut.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -9,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"teaseltack/io/head"
 )
 
 const (
@@ -27,7 +28,7 @@
 type conn struct {
 	server *Server
 	nc     net.Conn
-	reader *bufio.Reader
+	reader *head.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -51,7 +52,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, reader: bufio.NewReaderSize(nc, readBuffer)}
+	c := &conn{server: s, nc: nc, reader: head.NewReader(nc, readBuffer)}
 	c.pendingChanged = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -11,6 +10,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"teaseltack/io/head"
 )
 
 // malformedError is the error of a request that is refused before it is handled,
@@ -47,14 +48,17 @@
 		return nil, false, err
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	head, err := c.peekHead(limits.HeaderBytes)
+	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), nil)
+	if errors.Is(err, head.ErrTooLarge) {
+		return nil, false, newMalformed(http.StatusRequestHeaderFieldsTooLarge, "the head has over %d bytes", limits.HeaderBytes)
+	}
 	if err != nil {
 		return nil, false, asMalformed(err)
 	}
-	if err := checkHead(head); err != nil {
+	if err := checkHead(requestHead); err != nil {
 		return nil, false, err
 	}
-	parsed, err := http.ReadRequest(c.reader)
+	parsed, err := http.ReadRequest(c.reader.Reader)
 	if err != nil {
 		return nil, false, newMalformed(http.StatusBadRequest, "reading the request: %v", err)
 	}
@@ -76,35 +80,12 @@
 	return err
 }
 
-// peekHead waits until the complete head of a request is in the buffer and returns
-// it without consuming it.
-func (c *conn) peekHead(limit int) ([]byte, error) {
-	for {
-		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		if end := bytes.Index(buffered, []byte("\r\n\r\n")); end >= 0 {
-			if end > limit {
-				return nil, newMalformed(http.StatusRequestHeaderFieldsTooLarge, "the head has %d bytes, allowed are %d", end, limit)
-			}
-			return buffered[:end+4], nil
-		}
-		if len(buffered) > limit {
-			return nil, newMalformed(http.StatusRequestHeaderFieldsTooLarge, "the head has over %d bytes", limit)
-		}
-		if len(buffered) == c.reader.Size() {
-			c.reader = bufio.NewReaderSize(c.reader, 2*c.reader.Size())
-		}
-		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
-			return nil, err
-		}
-	}
-}
-
 // checkHead refuses heads that two parsers could interpret differently, which would
 // allow request smuggling: the standard library accepts bare line feeds and silently
 // ignores a Content-Length next to Transfer-Encoding: chunked.
-func checkHead(head []byte) error {
+func checkHead(requestHead []byte) error {
 	lengths, hosts, chunked, first := 0, 0, false, true
-	for line := range bytes.SplitSeq(head, []byte("\n")) {
+	for line := range bytes.SplitSeq(requestHead, []byte("\n")) {
 		if len(line) == 0 {
 			continue
 		}
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -1,9 +1,10 @@
 package pool
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,11 +14,18 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/io/head"
 )
 
 const (
-	// readBuffer is the size of a connection's read buffer in bytes.
+	// readBuffer is the initial size of a connection's read buffer in bytes; it grows
+	// for a longer head.
 	readBuffer = 4096
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of a head; parsing a short line takes many times
+	// its size.
+	maxHeadLines = 1000
 	// maxInlineBody is the largest body in bytes that is written before the answer is
 	// read; the kernel's send buffer holds that much.
 	maxInlineBody = 16 << 10
@@ -31,8 +39,11 @@
 type conn struct {
 	nc             net.Conn
 	address        string
-	reader         *bufio.Reader
+	reader         *head.Reader
+	share          share
 	maxAnswerBytes int64
+	// answered is set once the connection has carried an answer.
+	answered bool
 	// keepAlive is how long the connection may be idle.
 	keepAlive time.Duration
 	// usedAt is when the connection last became idle; from keepUntil on, it is not
@@ -41,8 +52,11 @@
 	keepUntil time.Time
 }
 
-func newConn(nc net.Conn, address string, maxAnswerBytes int64) *conn {
-	return &conn{nc: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer), maxAnswerBytes: maxAnswerBytes, keepAlive: defaultKeepAlive}
+func newConn(nc net.Conn, address string, maxAnswerBytes int64, r *reading) *conn {
+	return &conn{
+		nc: nc, address: address, reader: head.NewReader(nc, readBuffer), share: share{reading: r},
+		maxAnswerBytes: maxAnswerBytes, keepAlive: defaultKeepAlive,
+	}
 }
 
 // isUsable reports whether an idle connection is open and has no unread bytes.
@@ -81,26 +95,46 @@
 	if err != nil {
 		return nil, false, c.refusal(ctx, err)
 	}
-	foreign := 0
-	for {
-		response, keepOpen, err := c.receive(r.Method)
+	defer c.share.release()
+	for foreign := 0; ; foreign++ {
+		httpResponse, err := c.receiveHead(r.Method)
 		if err != nil {
 			return nil, false, c.refusal(ctx, err)
 		}
-		switch r.Check(response.Status, response.Header) {
-		case Own:
-			reuse = keepOpen && foreign == 0 && c.reader.Buffered() == 0 && fullySent(sent)
+		match := c.match(r, httpResponse)
+		if match == Broken {
+			return nil, false, teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the response is not an answer of the backend server to this request")
+		}
+		response, keepOpen, err := c.receiveBody(httpResponse)
+		var oversized *oversizedError
+		if errors.As(err, &oversized) && match != Foreign {
+			return nil, false, &teaseltack.Refusal{Verdict: r.OversizedVerdict, Reason: teaseltack.ReasonTooLarge, Detail: err.Error()}
+		}
+		if err != nil {
+			return nil, false, c.refusal(ctx, err)
+		}
+		if match != Foreign {
+			reuse = match == Own && keepOpen && foreign == 0 && c.reader.Buffered() == 0 && fullySent(sent)
+			c.answered = true
 			return response, reuse, nil
-		case Broken:
-			return nil, false, teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the response is not an answer of the backend server")
 		}
-		foreign++
-		if foreign > maxForeignAnswers || !keepOpen {
+		if foreign == maxForeignAnswers || !keepOpen {
 			return nil, false, teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the backend server answered another request")
 		}
+		c.share.release()
 	}
 }
 
+// match classifies an answer. An answer that names no request may be a late one unless
+// it is the first on its connection.
+func (c *conn) match(r *Request, httpResponse *http.Response) Match {
+	match := r.Check(httpResponse.StatusCode, httpResponse.Header)
+	if match == Unnamed && c.answered {
+		return Broken
+	}
+	return match
+}
+
 // send writes the request. A large body is written on a goroutine of its own while
 // the answer is read, since the server may answer before it has read the body. The
 // channel then receives the result of the write; it is nil for a small body.
@@ -131,43 +165,126 @@
 	}
 }
 
-// receive reads one answer and reports whether the server keeps the connection open.
-func (c *conn) receive(method string) (*Response, bool, error) {
+// receiveHead reads the head of the next answer.
+func (c *conn) receiveHead(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxInformational {
-		httpResponse, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, false, err
+		if err := c.checkHead(); err != nil {
+			return nil, err
 		}
-		if httpResponse.StatusCode >= 100 && httpResponse.StatusCode < 200 {
-			continue
-		}
-		body, err := c.readBody(httpResponse)
-		_ = httpResponse.Body.Close()
+		httpResponse, err := http.ReadResponse(c.reader.Reader, request)
 		if err != nil {
-			return nil, false, err
+			return nil, err
+		}
+		if httpResponse.StatusCode < 100 || httpResponse.StatusCode >= 200 {
+			return httpResponse, nil
 		}
-		c.updateKeepAlive(httpResponse.Header)
-		delimited := httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
-		return &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body}, delimited && !httpResponse.Close, nil
 	}
-	return nil, false, errors.New("the backend server sent only informational answers")
+	return nil, errors.New("the backend server sent only informational answers")
+}
+
+// receiveBody reads the rest of an answer and reports whether the server keeps the
+// connection open.
+func (c *conn) receiveBody(httpResponse *http.Response) (*Response, bool, error) {
+	// Closing the body would read the rest of it, however long; the connection is closed
+	// instead unless the body was read to its end.
+	body, err := c.readBody(httpResponse)
+	if err != nil {
+		return nil, false, err
+	}
+	c.updateKeepAlive(httpResponse.Header)
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Delimited: isDelimited(httpResponse)}
+	return response, response.Delimited && !httpResponse.Close, nil
+}
+
+// oversizedError is the error of a body of more bytes than allowed.
+type oversizedError struct {
+	allowed int64
+}
+
+// Error returns the allowed size.
+func (o *oversizedError) Error() string {
+	return fmt.Sprintf("the answer has over %d bytes", o.allowed)
+}
+
+// checkHead waits for the complete head of an answer and refuses one that is too large
+// to be parsed.
+func (c *conn) checkHead() error {
+	answerHead, err := c.reader.PeekHead(maxHeadBytes, func(size int) error { return c.share.grow(int64(size)) })
+	if errors.Is(err, head.ErrTooLarge) {
+		return teaseltack.Uncertain(teaseltack.ReasonTooLarge, "the head of the answer has over %d bytes", maxHeadBytes)
+	}
+	if err != nil {
+		return err
+	}
+	if lines := bytes.Count(answerHead, []byte("\n")); lines > maxHeadLines {
+		return teaseltack.Uncertain(teaseltack.ReasonTooLarge, "the head of the answer has %d lines, allowed are %d", lines, maxHeadLines)
+	}
+	return nil
+}
+
+// isDelimited reports whether the answer's own bytes show where it ends, rather than the
+// end of the connection.
+func isDelimited(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody
 }
 
+// readBody reads the body into a buffer that grows as the bytes arrive, since a server
+// may announce more than it sends.
 func (c *conn) readBody(httpResponse *http.Response) ([]byte, error) {
-	if httpResponse.ContentLength > c.maxAnswerBytes {
-		return nil, teaseltack.Uncertain(teaseltack.ReasonTooLarge, "the answer has %d bytes, allowed are %d", httpResponse.ContentLength, c.maxAnswerBytes)
+	length := httpResponse.ContentLength
+	if httpResponse.Body == http.NoBody {
+		length = 0
 	}
-	if httpResponse.ContentLength >= 0 {
-		body := make([]byte, httpResponse.ContentLength)
-		_, err := io.ReadFull(httpResponse.Body, body)
-		return body, err
+	if length > c.maxAnswerBytes {
+		return nil, &oversizedError{allowed: c.maxAnswerBytes}
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, c.maxAnswerBytes+1))
-	if err == nil && int64(len(body)) > c.maxAnswerBytes {
-		err = teaseltack.Uncertain(teaseltack.ReasonTooLarge, "the answer has over %d bytes", c.maxAnswerBytes)
+	size := int64(bytes.MinRead)
+	if length >= 0 {
+		size = min(length, freeAnswerBytes)
+	}
+	body := make([]byte, 0, size)
+	if err := c.share.grow(size); err != nil {
+		return nil, err
+	}
+	for {
+		if int64(len(body)) == length {
+			return body, nil
+		}
+		if len(body) == cap(body) {
+			var err error
+			if body, err = c.growBody(body, length); err != nil {
+				return nil, err
+			}
+		}
+		n, err := httpResponse.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > c.maxAnswerBytes:
+			return nil, &oversizedError{allowed: c.maxAnswerBytes}
+		case err == io.EOF && (length < 0 || int64(len(body)) == length):
+			return body, nil
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// growBody returns the body in a buffer of twice its size, or of the announced length if
+// that is smaller.
+func (c *conn) growBody(body []byte, length int64) ([]byte, error) {
+	size := min(2*int64(cap(body)), c.maxAnswerBytes+1)
+	if length >= 0 {
+		size = min(size, length)
+	}
+	if err := c.share.grow(size - int64(cap(body))); err != nil {
+		return nil, err
 	}
-	return body, err
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown, nil
 }
 
 // updateKeepAlive applies the timeout of the server's Keep-Alive header.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -1,7 +1,8 @@
 // Package pool sends HTTP/1.1 requests to one backend server over persistent
 // connections. It never sends a request twice, reuses a connection only if the server
-// sent exactly one complete answer on it, and returns an answer only if the request's
-// Check classifies it as the request's own.
+// sent exactly one complete answer on it that names its request, and returns an answer
+// only if the request's Check classifies it as the request's own. The memory that
+// answers take while they are read is bounded, for each and for all together.
 package pool
 
 import (
@@ -42,7 +43,9 @@
 	// NonIdempotent keeps the request off connections that have been idle for long,
 	// since it cannot be sent again if the connection turns out to be closed.
 	NonIdempotent bool
-	// Check classifies an answer. It is called on the goroutine of Do.
+	// OversizedVerdict is the verdict of a request whose own answer is too large.
+	OversizedVerdict teaseltack.Verdict
+	// Check classifies an answer by its head. It is called on the goroutine of Do.
 	Check func(status int, header http.Header) Match
 }
 
@@ -57,6 +60,10 @@
 	Foreign
 	// Broken is a response that cannot be the backend server's answer.
 	Broken
+	// Unnamed is an answer that names no request. It is taken only if it is the first
+	// on its connection, which then carries no second request: a late second answer
+	// could not be told from the next one.
+	Unnamed
 )
 
 // Response is a complete answer.
@@ -64,12 +71,19 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Delimited is set if the answer's own bytes show where it ends. Without it, the
+	// body ended with the connection and may lack its rest.
+	Delimited bool
 }
 
 // Config configures a pool.
 type Config struct {
-	Timers         teaseltack.Timers
+	Timers teaseltack.Timers
+	// MaxAnswerBytes bounds the body of one answer.
 	MaxAnswerBytes int64
+	// MaxReadingBytes bounds the memory of all answers that are being read, beyond
+	// 64 KiB for each; an answer that would exceed it is refused.
+	MaxReadingBytes int64
 	// OnConnect is called after each new connection, on the goroutine of Do and
 	// without locks; it may be nil.
 	OnConnect func()
@@ -78,6 +92,7 @@
 // Pool holds the connections to one address.
 type Pool struct {
 	cfg     Config
+	reading reading
 	mu      sync.Mutex
 	address string
 	idle    []*conn
@@ -85,7 +100,9 @@
 
 // New returns a pool without an address.
 func New(cfg Config) *Pool {
-	return &Pool{cfg: cfg}
+	p := &Pool{cfg: cfg}
+	p.reading.limit = cfg.MaxReadingBytes
+	return p
 }
 
 // SetAddress sets the address; a change closes the idle connections.
@@ -189,5 +206,5 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect()
 	}
-	return newConn(nc, address, p.cfg.MaxAnswerBytes), nil
+	return newConn(nc, address, p.cfg.MaxAnswerBytes, &p.reading), nil
 }
--- a/io/pool/pool_test.go
+++ b/io/pool/pool_test.go
@@ -31,7 +31,7 @@
 	requests    atomic.Int64
 }
 
-func newServer(t *testing.T, reply func(requestNumber int64, r *http.Request, conn net.Conn) bool) *server {
+func newServer(t testing.TB, reply func(requestNumber int64, r *http.Request, conn net.Conn) bool) *server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -164,7 +164,7 @@
 	s.gate = admit.New(admit.Config{Timers: s.timers, Slots: 1, Connections: 1, MaxWait: time.Duration(c.MaxWaitMs) * time.Millisecond, MaxNestedWait: maxNestedWait, MinShare: minShare})
 	s.origins = origin.New()
 	s.nestedStats = nested.New(nested.Config{Timers: s.timers})
-	s.pool = pool.New(pool.Config{Timers: s.timers, MaxAnswerBytes: c.MaxBodyBytes})
+	s.pool = s.newPool()
 	s.tickets = ticket.New(ticket.Config{
 		Timers: s.timers, Rand: source, Host: host, Incarnation: incarnation,
 		Lifetime: ticketLifetime, MaxRecords: int(c.MaxRemembered),
@@ -206,6 +206,16 @@
 	s.stops = append(s.stops, s.home.Close, s.gate.Close, s.tickets.Close)
 }
 
+// readingDivisor sets the memory for answers that are being read as memory-mb divided by
+// it, so that a server which sends bytes without end at each of its slots leaves room for
+// the rest of the daemon.
+const readingDivisor = 4
+
+func (s *Sidecar) newPool() *pool.Pool {
+	readingBytes := s.settings.MemoryMB << 20 / readingDivisor
+	return pool.New(pool.Config{Timers: s.timers, MaxAnswerBytes: min(s.settings.MaxBodyBytes, readingBytes), MaxReadingBytes: readingBytes})
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
