Use one client for backend servers in both modes

Cause: io/proxy took whatever came next on a connection as the answer, so a late second copy of an answer put the connection one answer behind for good. The request id could not tell them apart: all nested calls of a request have the same one. Ruled out: mending io/proxy. net/http gives no view of unread bytes on an idle connection, and nothing else spoke for two clients. Change: io/proxy goes; io/invoke translates calls for io/pool. Each dispatch has a Teaseltack-Call-Id that the server returns; a server that does not gets one call per connection. An answer with neither length nor chunks gets 502, answer-cut. A new number of connections in an announcement takes effect through the gate alone.

--- a/io/config/config.go
+++ b/io/config/config.go
@@ -33,6 +33,7 @@
 	MaxWaitMs          int64    `json:"max-wait-ms"`
 	MaxBodyBytes       int64    `json:"max-body-bytes"`
 	MaxAnswerBytes     int64    `json:"max-answer-bytes"`
+	MaxReadingBytes    int64    `json:"max-reading-bytes"`
 	MaxCallers         int64    `json:"max-callers"`
 	DefaultLifetimeMs  int64    `json:"default-lifetime-ms"`
 	TicketLifetimeS    int64    `json:"ticket-lifetime-s"`
@@ -51,6 +52,7 @@
 		MaxWaitMs:          100,
 		MaxBodyBytes:       8 << 20,
 		MaxAnswerBytes:     8 << 20,
+		MaxReadingBytes:    32 << 20,
 		MaxCallers:         4096,
 		DefaultLifetimeMs:  2000,
 		TicketLifetimeS:    120,
@@ -74,6 +76,7 @@
 	{"max-wait-ms", func(s *Settings) int64 { return s.MaxWaitMs }, 1, 10_000},
 	{"max-body-bytes", func(s *Settings) int64 { return s.MaxBodyBytes }, 1024, 64 << 20},
 	{"max-answer-bytes", func(s *Settings) int64 { return s.MaxAnswerBytes }, 1024, 64 << 20},
+	{"max-reading-bytes", func(s *Settings) int64 { return s.MaxReadingBytes }, 1024, 1 << 40},
 	{"max-callers", func(s *Settings) int64 { return s.MaxCallers }, 1, 100_000},
 	{"default-lifetime-ms", func(s *Settings) int64 { return s.DefaultLifetimeMs }, 1, 600_000},
 	{"ticket-lifetime-s", func(s *Settings) int64 { return s.TicketLifetimeS }, 1, 86_400},
@@ -116,6 +119,9 @@
 	settings := defaults()
 	p := &parser{path: path, text: text, offsets: map[string]int{}}
 	p.fill(&settings, root)
+	if _, given := p.offsets["max-reading-bytes"]; !given {
+		settings.MaxReadingBytes = max(settings.MaxReadingBytes, settings.MaxAnswerBytes)
+	}
 	if len(p.errors) == 0 {
 		p.check(&settings)
 	}
@@ -169,6 +175,9 @@
 	if s.KeyLifetimeS < s.TicketLifetimeS {
 		p.addKeyError("key-lifetime-s", "is %d, allowed is at least ticket-lifetime-s, which is %d", s.KeyLifetimeS, s.TicketLifetimeS)
 	}
+	if s.MaxReadingBytes < s.MaxAnswerBytes {
+		p.addKeyError("max-reading-bytes", "is %d, allowed is at least max-answer-bytes, which is %d", s.MaxReadingBytes, s.MaxAnswerBytes)
+	}
 	if s.DefaultLifetimeMs <= s.MaxWaitMs {
 		p.addKeyError("default-lifetime-ms", "is %d, allowed is more than max-wait-ms, which is %d", s.DefaultLifetimeMs, s.MaxWaitMs)
 	}
--- a/io/daemon/announce.go
+++ b/io/daemon/announce.go
@@ -38,7 +38,7 @@
 	}
 	cold := before.instance != a.Instance || before.renewed.IsZero()
 	d.mu.Unlock()
-	d.server.SetAddress(a.Address, a.Connections)
+	d.server.SetAddress(a.Address)
 	d.gate.Resize(a.Slots, a.Connections, cold)
 	if cold {
 		d.log.Info("server announced", "service", a.Service, "address", a.Address, "slots", a.Slots, "connections", a.Connections)
--- a/io/daemon/build.go
+++ b/io/daemon/build.go
@@ -23,9 +23,9 @@
 	"teaseltack/io/auth"
 	"teaseltack/io/config"
 	"teaseltack/io/dial"
+	"teaseltack/io/invoke"
 	"teaseltack/io/keyval"
 	"teaseltack/io/metric"
-	"teaseltack/io/proxy"
 	"teaseltack/io/random"
 )
 
@@ -40,7 +40,9 @@
 	d.picker = picker.New(picker.Config{Timers: d.timers, Rand: source, DataCentre: teaseltack.DataCentre(s.DataCentre), Near: near(s)})
 	d.levels = levels.New(levels.Config{Timers: d.timers})
 	d.gate = admit.New(admit.Config{Timers: d.timers, Slots: 1, Connections: 1, MaxWait: milliseconds(s.MaxWaitMs)})
-	d.server = proxy.New(proxy.Config{Timers: d.timers, MaxAnswerBytes: s.MaxAnswerBytes})
+	d.server = invoke.New(invoke.Config{
+		Timers: d.timers, Log: d.log.Named("server"), MaxAnswerBytes: s.MaxAnswerBytes, MaxReadingBytes: s.MaxReadingBytes,
+	})
 	d.tickets = ticket.New(ticket.Config{
 		Timers: d.timers, Rand: source, Host: teaseltack.HostID(s.Host), Incarnation: d.members.Own().Incarnation,
 		Lifetime: seconds(s.TicketLifetimeS), MaxRecords: int(s.MaxRemembered), MaxKeptBytes: int(s.MaxRememberedBytes),
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -33,8 +33,8 @@
 	"teaseltack/io/clock"
 	"teaseltack/io/config"
 	"teaseltack/io/httpd"
+	"teaseltack/io/invoke"
 	"teaseltack/io/metric"
-	"teaseltack/io/proxy"
 )
 
 const (
@@ -67,7 +67,7 @@
 	picker   *picker.Picker
 	levels   *levels.Table
 	gate     *admit.Gate
-	server   *proxy.Proxy
+	server   *invoke.Invoker
 	home     *home.Home
 	tickets  *ticket.Table
 	claims   *claim.Claims
--- a/io/dummy/dummy.go
+++ b/io/dummy/dummy.go
@@ -222,6 +222,7 @@
 }
 
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	header.CallID.Set(w.Header(), header.CallID.Get(r.Header))
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, "the request body was cut off", http.StatusBadRequest)
--- a/io/header/header.go
+++ b/io/header/header.go
@@ -15,6 +15,7 @@
 // The headers. docs/PROTOCOL.md describes them.
 const (
 	RequestID  Name = "Teaseltack-Request-Id"
+	CallID     Name = "Teaseltack-Call-Id"
 	Class      Name = "Teaseltack-Class"
 	LifetimeMs Name = "Teaseltack-Lifetime-Ms"
 	Attempt    Name = "Teaseltack-Attempt"
--- a/io/proxy/proxy_test.go
+++ b/io/invoke/invoke_test.go
@@ -1,4 +1,4 @@
-package proxy_test
+package invoke_test
 
 import (
 	"bufio"
@@ -10,11 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"teaseltack"
 	"teaseltack/io/clock"
-	"teaseltack/io/proxy"
+	"teaseltack/io/invoke"
 )
 
 // rawServer calls answer for each request on a connection. It closes the connection
@@ -53,14 +54,14 @@
 	}
 }
 
-func newProxy(address string) *proxy.Proxy {
-	p := proxy.New(proxy.Config{Timers: clock.Clock{}, MaxAnswerBytes: 100})
-	p.SetAddress(address, 4)
-	return p
+func newInvoker(address string) *invoke.Invoker {
+	i := invoke.New(invoke.Config{Timers: clock.Clock{}, Log: hclog.NewNullLogger(), MaxAnswerBytes: 100, MaxReadingBytes: 100})
+	i.SetAddress(address)
+	return i
 }
 
-func dispatch(p *proxy.Proxy, verb, key string, lifetime time.Duration) error {
-	call := &teaseltack.Call{ID: "a", Target: teaseltack.Target{Service: "s", Method: "m"}, Deadline: time.Now().Add(lifetime)}
+func dispatch(p *invoke.Invoker, verb, key string, lifetime time.Duration) error {
+	call := &teaseltack.Call{ID: "a", Nonce: "n", Target: teaseltack.Target{Service: "s", Method: "m"}, Deadline: time.Now().Add(lifetime)}
 	call.Payload.Verb = verb
 	if key != "" {
 		call.Payload.Headers = []teaseltack.HeaderField{{Name: "Idempotency-Key", Value: key}}
@@ -71,7 +72,10 @@
 	return err
 }
 
-const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+// okAnswer returns a complete answer that names its request.
+func okAnswer(r *http.Request) []byte {
+	return []byte("HTTP/1.1 200 OK\r\nTeaseltack-Call-Id: " + r.Header.Get("Teaseltack-Call-Id") + "\r\nContent-Length: 2\r\n\r\nok")
+}
 
 // Guards against uncounted attempts: net/http repeats a GET, and a POST with an
 // Idempotency-Key, by itself when a reused connection breaks.
@@ -82,14 +86,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var seen atomic.Int32
-			address := rawServer(t, func(conn net.Conn, _ *http.Request) bool {
+			var first net.Conn
+			address := rawServer(t, func(conn net.Conn, r *http.Request) bool {
 				if seen.Add(1) == 2 {
+					assert.Check(t, conn == first, "the connection was not used again")
 					return false
 				}
-				_, err := conn.Write([]byte(okAnswer))
+				first = conn
+				_, err := conn.Write(okAnswer(r))
 				return err == nil
 			})
-			p := newProxy(address)
+			p := newInvoker(address)
 			err := dispatch(p, test.verb, test.key, 5*time.Second)
 			assert.NilError(t, err)
 			err = dispatch(p, test.verb, test.key, 5*time.Second)
@@ -121,10 +128,11 @@
 		"cut in the headers": {serve("HTTP/1.1 200 OK\r\nContent-Le"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
 		"cut in the body":    {serve("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
 		"cut in a chunk":     {serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
+		"no length":          {serve("HTTP/1.1 200 OK\r\n\r\nhal"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
 		"too large":          {serve("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + string(make([]byte, 101))), teaseltack.Ran, teaseltack.ReasonTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			err := dispatch(newProxy(test.address), http.MethodPost, "", 5*time.Second)
+			err := dispatch(newInvoker(test.address), http.MethodPost, "", 5*time.Second)
 			refusal := teaseltack.AsRefusal(err)
 			assert.Equal(t, refusal.Verdict, test.verdict)
 			assert.Equal(t, refusal.Reason, test.reason)
@@ -136,14 +144,14 @@
 // answers. One call times out; the next has to succeed on a new connection.
 func TestSilentConnectionCostsOneCall(t *testing.T) {
 	var requests atomic.Int32
-	address := rawServer(t, func(conn net.Conn, _ *http.Request) bool {
+	address := rawServer(t, func(conn net.Conn, r *http.Request) bool {
 		if requests.Add(1) == 2 {
 			return true
 		}
-		_, err := conn.Write([]byte(okAnswer))
+		_, err := conn.Write(okAnswer(r))
 		return err == nil
 	})
-	p := newProxy(address)
+	p := newInvoker(address)
 	err := dispatch(p, http.MethodPost, "", 5*time.Second)
 	assert.NilError(t, err)
 	err = dispatch(p, http.MethodPost, "", 100*time.Millisecond)
