Answer every request that comes during a planned stop

Cause: io/httpd turned keep-alive off at the start of a stop, and net/http then closes the idle connections at once, though the daemon serves on for 1.5 s. A caller that had just sent on one got its end instead of an answer. Ruled out: the listener's close at the end of the stop; callers that were told to close with an answer are gone by then. Change: a stopping server only adds Connection: close to its answers.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -46,23 +46,25 @@
 	url    string
 	host   string
 	server *server
+	// stop stops the daemon and waits for its end.
+	stop func() error
 	// answered counts the requests that got a complete answer.
 	answered atomic.Int64
 	client   *http.Client
 }
 
-func newPath(address, urlPath, host string, s *server) *path {
+func newPath(address, urlPath, host string, s *server, stop func() error) *path {
 	return &path{
-		url: "http://" + address + urlPath, host: host, server: s,
+		url: "http://" + address + urlPath, host: host, server: s, stop: stop,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}},
 	}
 }
 
-// send sends the request with the number and returns its status and body.
-func (p *path) send(number string) (int, string, error) {
+// request returns the request with the number.
+func (p *path) request(number string) *http.Request {
 	request, err := http.NewRequest(http.MethodGet, p.url, nil)
 	if err != nil {
-		return 0, "", err
+		panic(err)
 	}
 	request.Host = p.host
 	request.Header.Set(testHeader, number)
@@ -72,7 +74,12 @@
 	// The requests of one caller have the same id in the product's own interface, as the
 	// nested calls of one request do.
 	request.Header.Set("Teaseltack-Request-Id", "same")
-	response, err := p.client.Do(request)
+	return request
+}
+
+// send sends the request with the number and returns its status and body.
+func (p *path) send(number string) (int, string, error) {
+	response, err := p.client.Do(p.request(number))
 	if err != nil {
 		return 0, "", err
 	}
@@ -101,12 +108,12 @@
 	assert.NilError(t, err)
 	d, err := daemon.New(settings, hclog.NewNullLogger())
 	assert.NilError(t, err)
-	runUntilCleanup(t, d.Run)
+	stop := run(t, d.Run)
 	s := startServer(t, named)
 	announce(t, "http://"+d.InnerAddress()+"/teaseltack/v1/announce", map[string]any{
 		"service": "shop", "address": s.listener.Addr().String(), "instance": "i", "slots": slots, "connections": 4 * slots,
 	})
-	p := newPath(d.OuterAddress(), "/shop/look-up", "", s)
+	p := newPath(d.OuterAddress(), "/shop/look-up", "", s, stop)
 	p.awaitService(t)
 	return p
 }
@@ -125,27 +132,30 @@
 		MaxWaitMs: 100, MaxBodyBytes: 1 << 20, MaxRemembered: 1000, LogLevel: "info",
 	}, hclog.NewNullLogger())
 	assert.NilError(t, err)
-	runUntilCleanup(t, d.Run)
+	stop := run(t, d.Run)
 	store.PutAsOperator(platform.ConfigKey, []byte(`{"version":"00000001","limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},
 		"listeners":[{"host":"a.example","rules":[{"name":"r","kind":"idempotent","target_latency_s":1,"priority":0,"match":{"prefix":"/shop/"},"action":{"service":"shop","timeout_s":5,"max_attempts":2}}]}],
 		"clusters":[{"name":"shop","health_path":"/health","max_conns":100}]}`))
 	announce(t, "http://"+d.Addresses().Announce+"/teaseltack/rpc?call=instances.heartbeat&of=i", map[string]any{
 		"service": "shop", "address": s.listener.Addr().String(), "zone": "a", "version": "v", "slots": slots, "state": "ready", "cold_left_s": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
-	p := newPath(d.Addresses().Outer, "/shop/look-up", "a.example", s)
+	p := newPath(d.Addresses().Outer, "/shop/look-up", "a.example", s, stop)
 	p.awaitService(t)
 	return p
 }
 
-func runUntilCleanup(t *testing.T, run func(ctx, abort context.Context) error) {
+// run runs a daemon until the test ends or the returned function is called.
+func run(t *testing.T, runDaemon func(ctx, abort context.Context) error) (stop func() error) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- run(ctx, context.Background()) }()
-	t.Cleanup(func() {
+	go func() { done <- runDaemon(ctx, context.Background()) }()
+	stop = sync.OnceValue(func() error {
 		cancel()
-		assert.Check(t, <-done)
+		return <-done
 	})
+	t.Cleanup(func() { assert.Check(t, stop()) })
+	return stop
 }
 
 // announce announces a server and repeats the announcement until the test ends.
--- a/io/daemon/stop.go
+++ b/io/daemon/stop.go
@@ -18,7 +18,7 @@
 	d.log.Info("shutting down", "in-flight", d.home.InFlight())
 	d.ready.Store(false)
 	d.stopping.Store(true)
-	d.listeners.outer.KeepAlives(false)
+	d.listeners.outer.DisableKeepAlives()
 	d.applyServing()
 	d.members.UpdateOwn(func(r *teaseltack.Record) { r.State = teaseltack.Left })
 	d.gossiper.ExchangeAll()
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -34,6 +34,8 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	// closing is set once each connection is to close after its next answer.
+	closing atomic.Bool
 }
 
 // Listen opens the listener. Serve accepts its connections.
@@ -68,7 +70,12 @@
 
 // Handle sets the handler; it must be called before Serve.
 func (s *Server) Handle(handler http.Handler) {
-	s.server.Handler = handler
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.closing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 // Serve serves requests until Shutdown.
@@ -91,9 +98,11 @@
 	return nil
 }
 
-// KeepAlives enables or disables the reuse of HTTP/1.1 connections.
-func (s *Server) KeepAlives(on bool) {
-	s.server.SetKeepAlivesEnabled(on)
+// DisableKeepAlives makes each connection close after its next answer, which says so.
+// http.Server.SetKeepAlivesEnabled would close the idle connections at once, and with
+// them requests that callers have just sent.
+func (s *Server) DisableKeepAlives() {
+	s.closing.Store(true)
 }
 
 // boundedListener closes connections beyond maxOpen immediately after accepting them.
