--- a/core/editor/editor.go
+++ b/core/editor/editor.go
@@ -99,12 +99,12 @@
 	if faults := edit.Check(); len(faults) > 0 {
 		return &operatorv1.Outcome{Result: refused, Detail: errors.Join(faults...).Error()}
 	}
-	wrote := false
+	mayHaveWritten := false
 	var cause error
 	for range maxAttempts {
 		document, revision, err := e.Load(ctx)
 		if err != nil {
-			return failedOutcome(wrote, err)
+			return failedOutcome(mayHaveWritten, err)
 		}
 		outcome, next := e.decide(ctx, document, edit, expected)
 		if outcome != nil {
@@ -113,27 +113,25 @@
 		if dryRun {
 			return &operatorv1.Outcome{Result: accepted, Generation: next.Generation, Detail: "dry run: nothing was written", Changes: policy.ByID(next.Recent, edit.ChangeID)}
 		}
-		swapped, err := e.write(ctx, document, next, revision)
-		if swapped {
+		failure := e.write(ctx, document, next, revision)
+		if failure == nil {
 			e.cfg.OnDocument(next)
 			return acceptedOutcome(next.Generation, policy.ByID(next.Recent, edit.ChangeID))
 		}
-		if err != nil {
-			// The next attempt reads whether this write took effect. If it has not,
-			// writing again with the same expected revision is safe, since at most
-			// one of the two writes can succeed.
-			wrote, cause = true, err
-		}
+		// The next attempt reads whether a write with an unknown outcome took effect. If
+		// it has not, writing again with the same expected revision is safe, since at
+		// most one of the two writes can succeed.
+		cause, mayHaveWritten = failure.err, mayHaveWritten || failure.mayHaveWritten
 	}
-	return failedOutcome(wrote, fmt.Errorf("no write succeeded after %d attempts: %w", maxAttempts, cause))
+	return failedOutcome(mayHaveWritten, fmt.Errorf("no write succeeded after %d attempts: %w", maxAttempts, cause))
 }
 
 func acceptedOutcome(generation uint64, changes []*operatorv1.Change) *operatorv1.Outcome {
 	return &operatorv1.Outcome{Result: accepted, Generation: generation, Changes: changes}
 }
 
-func failedOutcome(wrote bool, err error) *operatorv1.Outcome {
-	if wrote {
+func failedOutcome(mayHaveWritten bool, err error) *operatorv1.Outcome {
+	if mayHaveWritten {
 		return &operatorv1.Outcome{Result: unknown, Detail: fmt.Sprintf("the change may have been written (%v); repeat it with the same change id", err)}
 	}
 	return &operatorv1.Outcome{Result: refused, Detail: fmt.Sprintf("this request wrote nothing, but an earlier one with the same change id may have been applied: %v", err)}
@@ -211,25 +209,35 @@
 	}
 }
 
-// write archives the oldest audit entries if needed, then swaps the document.
-// It reports whether the document was written; after an error the write may or
-// may not have taken effect. If the entries cannot be archived, it writes no
-// document and returns no error.
-func (e *Editor) write(ctx context.Context, before, next *operatorv1.Document, revision uint64) (bool, error) {
+// writeFailure is why a document was not written, as far as is known.
+type writeFailure struct {
+	err error
+	// mayHaveWritten is set if the write may have taken effect.
+	mayHaveWritten bool
+}
+
+var errChangedMeanwhile = errors.New("another operator changed the document in the meantime")
+
+// write archives the oldest audit entries if needed, then swaps the document. It
+// returns nil if the document was written.
+func (e *Editor) write(ctx context.Context, before, next *operatorv1.Document, revision uint64) *writeFailure {
 	if err := e.archiveOldest(ctx, before, next); err != nil {
-		return false, nil
+		return &writeFailure{err: err}
 	}
 	value, err := proto.Marshal(next)
 	if err != nil {
-		return false, fmt.Errorf("encoding %s: %w", DocumentKey, err)
+		return &writeFailure{err: fmt.Errorf("encoding %s: %w", DocumentKey, err)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := e.cfg.Store.Swap(ctx, DocumentKey, value, revision, 0)
 	if err != nil {
-		return false, fmt.Errorf("writing %s: %w", DocumentKey, err)
+		return &writeFailure{err: fmt.Errorf("writing %s: %w", DocumentKey, err), mayHaveWritten: true}
+	}
+	if !entry.Swapped {
+		return &writeFailure{err: errChangedMeanwhile}
 	}
-	return entry.Swapped, nil
+	return nil
 }
 
 // archiveOldest copies the oldest audit entries to an archive key before it
--- a/core/editor/editor_test.go
+++ b/core/editor/editor_test.go
@@ -38,6 +38,8 @@
 	// beforeSwap runs once, before the next swap of the document, to write as
 	// another operator.
 	beforeSwap func()
+	// archiveDown makes all writes but those of the document fail.
+	archiveDown bool
 }
 
 func newFakeStore() *fakeStore {
@@ -63,7 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.nextFault()
-	if f == down {
+	if f == down || s.archiveDown && key != editor.DocumentKey {
 		return teaseltack.KVEntry{}, errDown
 	}
 	if s.values[key].Revision != expected {
@@ -97,6 +99,39 @@
 	return document
 }
 
+// Guards against an outcome without its cause, and against "unknown" for a change that
+// wrote nothing.
+func TestOutcomesOfFailedWritesNameTheirCause(t *testing.T) {
+	t.Run("each swap is lost to another operator", func(t *testing.T) {
+		s := newFakeStore()
+		e := newEditor(s)
+		other := newEditor(s)
+		changes := 0
+		var race func()
+		race = func() {
+			changes++
+			outcome := other.Apply(t.Context(), editFor(fmt.Sprint("other-", changes), "other", int64(changes)), 0, false)
+			assert.Equal(t, outcome.Result, "accepted")
+			s.beforeSwap = race
+		}
+		s.beforeSwap = race
+		outcome := e.Apply(t.Context(), editFor("own", "m", 1000), 0, false)
+		assert.Equal(t, outcome.Result, "refused")
+		assert.Assert(t, strings.Contains(outcome.Detail, "another operator changed the document"), outcome.Detail)
+	})
+	t.Run("the archive cannot be written", func(t *testing.T) {
+		s := newFakeStore()
+		e := newEditor(s)
+		for i := range 64 {
+			assert.Equal(t, e.Apply(t.Context(), editFor(fmt.Sprint(i), "m", int64(i+1)), 0, false).Result, "accepted")
+		}
+		s.archiveDown = true
+		outcome := e.Apply(t.Context(), editFor("late", "m", 5000), 0, false)
+		assert.Equal(t, outcome.Result, "refused")
+		assert.Assert(t, strings.Contains(outcome.Detail, "writing config/archive/0: no answer"), outcome.Detail)
+	})
+}
+
 // Guards against lost or doubled changes when answers of the platform are lost
 // and another operator writes in between: every accepted change is in the audit
 // trail once, a refused one never, and the generation counts the accepted ones.
--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -95,6 +95,7 @@
 
 func (g *Gossiper) tick() {
 	g.cfg.Members.Tick()
+	g.forgetDataCentres()
 	for _, p := range g.choosePartners() {
 		go g.exchange(p)
 	}
--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -306,6 +306,36 @@
 	})
 }
 
+// A data centre that was cut off and whose hosts have all left must not be reported as
+// unreachable for good.
+func TestADataCentreWithoutHostsIsForgotten(t *testing.T) {
+	withFleet(t, 2, 3, func(f *fleet) {
+		f.setDropped(func(from, to *node) bool { return from.record.DataCentre == "dc0" && to.record.DataCentre == "dc1" })
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, f.nodes["h0-0"].unreachable["dc1"], "dc1 is not reported as unreachable")
+		for host, n := range f.nodes {
+			if n.record.DataCentre != "dc1" {
+				continue
+			}
+			n.members.UpdateOwn(func(r *teaseltack.Record) { r.State = teaseltack.Left })
+			n.gossiper.ExchangeAll()
+			t.Log(host, "left")
+		}
+		time.Sleep(5 * time.Second)
+		for _, n := range f.nodes {
+			if n.record.DataCentre == "dc1" {
+				n.stop()
+			}
+		}
+		time.Sleep(10 * time.Second)
+		for _, host := range []string{"h0-0", "h0-1", "h0-2"} {
+			n := f.nodes[host]
+			assert.Assert(t, !n.unreachable["dc1"], "%s reports dc1 as unreachable", host)
+			assert.Equal(t, len(n.gossiper.Unreachable()), 0)
+		}
+	})
+}
+
 // If messages pass in one direction only, calls between the two hosts fail on both
 // sides, since the request or the answer is lost. The suspected host must refute the
 // suspicion through other hosts.
--- a/core/gossip/reach.go
+++ b/core/gossip/reach.go
@@ -65,6 +65,27 @@
 	}
 }
 
+// forgetDataCentres forgets the data centres of which no host is known any more, and
+// reports those that were unreachable as no longer so.
+func (g *Gossiper) forgetDataCentres() {
+	known := g.view().remoteOrders
+	var unreachable []teaseltack.DataCentre
+	g.mu.Lock()
+	for name, r := range g.remoteStates {
+		if _, exists := known[name]; exists {
+			continue
+		}
+		delete(g.remoteStates, name)
+		if r.unreachable {
+			unreachable = append(unreachable, name)
+		}
+	}
+	g.mu.Unlock()
+	for _, name := range unreachable {
+		g.cfg.OnUnreachable(name, false)
+	}
+}
+
 // Unreachable returns the data centres that are unreachable.
 func (g *Gossiper) Unreachable() []teaseltack.DataCentre {
 	g.mu.Lock()
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -22,7 +22,7 @@
 	// failureFactor is the factor by which a failed call, or a high gradient, lowers
 	// the limit.
 	failureFactor = 0.95
-	// smoothing is the weight of one call in the mean latency and its deviation.
+	// smoothing is the weight of one call in the mean latency.
 	smoothing = 0.1
 	// bestWindow is the length of one window. The best latency is the lowest mean
 	// latency in the current window and the one before it.
@@ -36,18 +36,15 @@
 	connections     int
 	current         float64
 	meanLatency     time.Duration
-	deviation       time.Duration
 	bestLatency     time.Duration
 	nextBestLatency time.Duration
 	windowEnd       time.Time
 }
 
-// New returns a limit for a server that has just started. Both counts are raised to
-// at least 1, and connections to at least the slots.
+// New returns a limit for a server that has just started.
 func New(slots, connections int) *Limit {
 	l := &Limit{}
-	l.slots = max(slots, 1)
-	l.connections = max(connections, l.slots)
+	l.setBounds(slots, connections)
 	l.current = max(1, float64(l.slots)/coldDivisor)
 	return l
 }
@@ -55,11 +52,17 @@
 // Resize sets the slots and connections that the server announced and keeps the
 // limit within the bounds that they set.
 func (l *Limit) Resize(slots, connections int) {
-	l.slots = max(slots, 1)
-	l.connections = max(connections, l.slots)
+	l.setBounds(slots, connections)
 	l.clamp()
 }
 
+// setBounds sets both counts to at least 1. Each call in progress holds a connection, so
+// fewer connections than slots leave only as many slots.
+func (l *Limit) setBounds(slots, connections int) {
+	l.connections = max(connections, 1)
+	l.slots = min(max(slots, 1), l.connections)
+}
+
 // Current returns the number of calls that may run at once.
 func (l *Limit) Current() int {
 	return int(l.current)
@@ -70,12 +73,6 @@
 	return l.meanLatency
 }
 
-// HighLatency estimates a high quantile of the time that a call spends at the server
-// as the smoothed time plus twice the mean deviation. It does not influence the limit.
-func (l *Limit) HighLatency() time.Duration {
-	return l.meanLatency + 2*l.deviation
-}
-
 // Succeed records a complete answer that took the time work, with inFlight calls
 // running.
 func (l *Limit) Succeed(now time.Time, work time.Duration, inFlight int) {
@@ -114,15 +111,12 @@
 func (l *Limit) observe(now time.Time, work time.Duration) {
 	if l.meanLatency == 0 {
 		l.meanLatency = work
-		l.deviation = work / 4
 		l.bestLatency = work
 		l.nextBestLatency = work
 		l.windowEnd = now.Add(bestWindow)
 		return
 	}
-	difference := work - l.meanLatency
-	l.meanLatency += time.Duration(smoothing * float64(difference))
-	l.deviation += time.Duration(smoothing * float64(difference.Abs()-l.deviation))
+	l.meanLatency += time.Duration(smoothing * float64(work-l.meanLatency))
 	l.bestLatency = min(l.bestLatency, l.meanLatency)
 	l.nextBestLatency = min(l.nextBestLatency, l.meanLatency)
 	if now.Before(l.windowEnd) {
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -94,14 +94,17 @@
 	return uint32(xxhash.Sum64String(string(host)) % teaseltack.DigestBucketCount)
 }
 
-// hashOf returns the hash of a record in the digests. The fields that it leaves out change
-// only together with the version or the incarnation.
+// hashOf returns the hash of a record in the digests. It covers all fields that Compare
+// orders by, so that equal digests mean that a merge would change nothing.
 func hashOf(r teaseltack.Record) uint64 {
-	buffer := make([]byte, 0, 64)
-	buffer = append(buffer, r.Host...)
-	buffer = append(buffer, 0)
-	buffer = binary.LittleEndian.AppendUint64(buffer, uint64(r.Incarnation))
-	buffer = binary.LittleEndian.AppendUint64(buffer, r.Version)
+	buffer := make([]byte, 0, 128)
+	for _, text := range []string{string(r.Host), r.PeerAddress, string(r.Service), string(r.DataCentre), string(r.Region)} {
+		buffer = append(buffer, text...)
+		buffer = append(buffer, 0)
+	}
+	for _, number := range []uint64{uint64(r.Incarnation), r.Version, uint64(r.Generation), uint64(r.Slots), uint64(r.Connections)} {
+		buffer = binary.LittleEndian.AppendUint64(buffer, number)
+	}
 	buffer = append(buffer, byte(r.State), byte(r.Serving))
 	return xxhash.Sum64(buffer)
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -35,6 +35,55 @@
 	}), 0, 12).Draw(r, label)
 }
 
+// Guards against daemons that keep different records for good because their digests are
+// equal.
+func TestEqualDigestsMeanThatAMergeChangesNothing(t *testing.T) {
+	text := rapid.SampledFrom([]string{"", "x", "y"})
+	number := rapid.IntRange(0, 2)
+	record := rapid.Custom(func(t *rapid.T) teaseltack.Record {
+		return teaseltack.Record{
+			Host: "h", Incarnation: teaseltack.Incarnation(number.Draw(t, "incarnation")), Version: uint64(number.Draw(t, "version")),
+			DataCentre: teaseltack.DataCentre(text.Draw(t, "data centre")), Region: teaseltack.Region(text.Draw(t, "region")),
+			PeerAddress: text.Draw(t, "address"), Service: teaseltack.Service(text.Draw(t, "service")),
+			Slots: number.Draw(t, "slots"), Connections: number.Draw(t, "connections"),
+			Serving: teaseltack.Serving(number.Draw(t, "serving")), Generation: teaseltack.Generation(number.Draw(t, "generation")),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		one := record.Draw(t, "one")
+		other := one
+		changed := record.Draw(t, "changed")
+		switch rapid.IntRange(0, 9).Draw(t, "field") {
+		case 0:
+			other.Incarnation = changed.Incarnation
+		case 1:
+			other.Version = changed.Version
+		case 2:
+			other.DataCentre = changed.DataCentre
+		case 3:
+			other.Region = changed.Region
+		case 4:
+			other.PeerAddress = changed.PeerAddress
+		case 5:
+			other.Service = changed.Service
+		case 6:
+			other.Slots = changed.Slots
+		case 7:
+			other.Connections = changed.Connections
+		case 8:
+			other.Serving = changed.Serving
+		case 9:
+			other.Generation = changed.Generation
+		}
+		a, b := newTable("own"), newTable("own")
+		a.Merge([]teaseltack.Record{one})
+		b.Merge([]teaseltack.Record{other})
+		digestA, _ := a.Digest()
+		digestB, _ := b.Digest()
+		assert.Equal(t, digestA == digestB, member.Compare(one, other) == 0)
+	})
+}
+
 // If the result of a merge depended on the order or repetition of the records, daemons
 // would keep different memberships.
 func TestMergeIsCommutativeAssociativeAndIdempotent(t *testing.T) {
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -15,7 +15,7 @@
 
 var explainCommand = command{
 	name: "explain",
-	help: "Print the log lines of one request from daemons' logs, in order of time; those from the standard input keep their order.",
+	help: "Print the log lines of one request from daemons' logs, in order of time.",
 	define: func(clause *kingpin.CmdClause) action {
 		id := clause.Arg("id", "The request's id.").Required().String()
 		files := clause.Arg("file", "Log files; standard input by default.").Strings()
@@ -46,22 +46,21 @@
 	fieldPattern = regexp.MustCompile(`([a-z-]+)=("(?:[^"\\]|\\.)*"|\S*)`)
 )
 
-// readAllLines returns the lines of all files that name the request, in order of
-// time. Without files it reads the standard input and keeps its order.
+// readAllLines returns the lines of all files, or of the standard input if there are
+// none, that name the request, in order of time.
 func readAllLines(id string, files []string) ([]logLine, error) {
 	var lines []logLine
 	if len(files) == 0 {
-		return readLines(os.Stdin, id)
-	}
-	for _, name := range files {
-		file, err := os.Open(name)
+		found, err := readLines(os.Stdin, id)
 		if err != nil {
-			return nil, fmt.Errorf("opening a log: %w", err)
+			return nil, fmt.Errorf("reading the standard input: %w", err)
 		}
-		found, err := readLines(file, id)
-		_ = file.Close()
+		lines = found
+	}
+	for _, name := range files {
+		found, err := readFile(name, id)
 		if err != nil {
-			return nil, fmt.Errorf("reading %s: %w", name, err)
+			return nil, err
 		}
 		lines = append(lines, found...)
 	}
@@ -69,6 +68,19 @@
 	return lines, nil
 }
 
+func readFile(name, id string) ([]logLine, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("opening a log: %w", err)
+	}
+	defer func() { _ = file.Close() }()
+	found, err := readLines(file, id)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s: %w", name, err)
+	}
+	return found, nil
+}
+
 // maxLogLine bounds one line of a log, in bytes.
 const maxLogLine = 1 << 20
 
@@ -78,7 +90,7 @@
 	var lines []logLine
 	for scanner.Scan() {
 		text := scanner.Text()
-		if !strings.Contains(text, "id="+id+" ") {
+		if !strings.Contains(" "+text+" ", " id="+id+" ") {
 			continue
 		}
 		line := logLine{Time: timePattern.FindString(text), Fields: map[string]string{}}
--- a/io/cmds/sidecar_test.go
+++ b/io/cmds/sidecar_test.go
@@ -59,16 +59,26 @@
 `
 
 // Guards against lines printed in the order of the log, lines of a request whose id
-// only starts alike (a12), and quoted values that are cut at a space.
+// only starts alike (a12), lines of a change with the same id, and quoted values that
+// are cut at a space.
 func TestExplainPrintsARequestInOrderOfTime(t *testing.T) {
 	code, out, _ := run("explain", "a1", write(t, logOfTwoHosts))
 	assert.Equal(t, code, 0)
 	home, entry := strings.Index(out, "home ran at h2"), strings.Index(out, "entry answered at h1")
 	assert.Assert(t, home >= 0 && entry > home, out)
+	input, err := os.Open(write(t, logOfTwoHosts))
+	assert.NilError(t, err)
+	defer func(stdin *os.File) { os.Stdin = stdin }(os.Stdin)
+	os.Stdin = input
+	_, sorted, _ := run("explain", "a1")
+	assert.Equal(t, sorted, out, "the standard input is not put in order")
 	code, out, _ = run("explain", "a1", "--json", write(t, logOfTwoHosts))
 	assert.Equal(t, code, 0)
 	assert.Equal(t, strings.Count(out, "\n"), 2)
 	assert.Assert(t, strings.Contains(out, `"detail":"a b"`), out)
+	other := strings.ReplaceAll(logOfTwoHosts, " id=a", " change-id=a")
+	code, _, _ = run("explain", "a1", write(t, other))
+	assert.Equal(t, code, 1, "a line of change a1 counts as one of request a1")
 	code, _, fault := run("explain", "none", write(t, logOfTwoHosts))
 	assert.Equal(t, code, 1)
 	assert.Assert(t, strings.Contains(fault, "no line names request none"), fault)
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -194,16 +194,20 @@
 		_ = clientConn.Close()
 		s.Close()
 		answers := bufio.NewReader(bytes.NewReader(got))
+		answered := 0
 		for {
 			if _, err := answers.Peek(1); err != nil {
 				break
 			}
 			response, err := http.ReadResponse(answers, nil)
 			if err != nil {
-				break
+				t.Fatalf("%q is no answer: %v", got, err)
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				t.Fatalf("%q is no complete answer: %v", got, err)
 			}
-			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
+			answered++
 		}
 		expected := map[string]bool{}
 		reader := bufio.NewReader(bytes.NewReader(sent))
@@ -218,6 +222,10 @@
 			}
 			expected[fmt.Sprintf("%s %s %q", r.Method, r.RequestURI, body)] = true
 		}
+		const refusals = 1 // A malformed request is answered without being handled.
+		if continued := bytes.Count(got, []byte("HTTP/1.1 100 ")); answered > len(handled)+refusals+continued {
+			t.Fatalf("%d answers to %d requests: %q", answered, len(handled), got)
+		}
 		for len(handled) > 0 {
 			if h := <-handled; !expected[h] {
 				t.Fatalf("handled %s, which was not sent", h)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -30,6 +30,9 @@
 	// userTimeout is how long sent bytes may stay unacknowledged before the kernel
 	// closes the connection.
 	userTimeout = 4 * time.Second
+	// acceptRetryDelay is the delay after a failed accept, such as when the process is
+	// out of file descriptors.
+	acceptRetryDelay = 10 * time.Millisecond
 )
 
 // errStopping is the cause of closing connections when this daemon stops.
@@ -39,6 +42,10 @@
 // longer in the membership.
 var errUnknownHost = errors.New("the host is no longer in the membership")
 
+// errAddressChanged is the cause of closing the connection to an earlier address of a
+// host.
+var errAddressChanged = errors.New("the host has another address")
+
 // Config configures the links of a host. The callbacks are called without the locks
 // of Links, some of them concurrently.
 type Config struct {
@@ -105,6 +112,7 @@
 			return
 		}
 		if err != nil {
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		c := newConn(l, nc, nil)
@@ -160,8 +168,8 @@
 	}
 }
 
-// retireDelay is how long the connection to a host that has left the membership
-// stays open for its pending calls. A call that lasts longer fails.
+// retireDelay is how long the connection to a host that has left the membership, or to
+// an address that a host no longer has, stays open for its pending calls. A call that lasts longer fails.
 const retireDelay = 30 * time.Second
 
 // DropUnknown forgets the hosts that are not among the records. A connection that
@@ -175,15 +183,21 @@
 	}
 	for host, p := range l.peers {
 		if !known[host] {
-			p.removed = true
 			delete(l.peers, host)
-			if removedConn := p.conn; removedConn != nil {
-				l.cfg.Timers.After(retireDelay, func() { removedConn.close(errUnknownHost) })
-			}
+			l.retire(p, errUnknownHost)
 		}
 	}
 }
 
+// retire stops dialling a host and closes the connection to it after retireDelay. The
+// caller holds l.mu.
+func (l *Links) retire(p *peer, cause error) {
+	p.removed = true
+	if conn := p.conn; conn != nil {
+		l.cfg.Timers.After(retireDelay, func() { conn.close(cause) })
+	}
+}
+
 // Forward sends the call to its home and waits for the answer. The error is a
 // *Refusal.
 func (l *Links) Forward(ctx context.Context, to teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -31,6 +31,11 @@
 }
 
 func newNode(t *testing.T, name string) *node {
+	t.Helper()
+	return newNodeWith(t, name, clock.Clock{})
+}
+
+func newNodeWith(t *testing.T, name string, timers teaseltack.Timers) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -42,7 +47,7 @@
 		return &teaseltack.Answer{ID: c.ID, Nonce: c.Nonce, Status: 200, Body: c.Payload.Body}
 	}
 	n.links = link.New(link.Config{
-		Timers: clock.Clock{}, Host: n.record.Host,
+		Timers: timers, Host: n.record.Host,
 		Serve: func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer { return n.serve(ctx, c) },
 		Current: func() (teaseltack.Generation, []byte) {
 			return teaseltack.Generation(n.generation.Load()), []byte("document")
@@ -241,13 +246,15 @@
 type relay struct {
 	listener net.Listener
 	dropping atomic.Bool
+	// ended gets a value for each connection whose one end was closed.
+	ended chan struct{}
 }
 
 func newRelay(t *testing.T, to string) *relay {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	r := &relay{listener: listener}
+	r := &relay{listener: listener, ended: make(chan struct{}, 100)}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -270,7 +277,10 @@
 // copy copies bytes from one connection to the other. Once r.dropping is set, it
 // discards them unless the connection was made later.
 func (r *relay) copy(from, to net.Conn, afterDrop bool) {
-	defer func() { _ = to.Close() }()
+	defer func() {
+		_ = to.Close()
+		r.ended <- struct{}{}
+	}()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
@@ -336,3 +346,85 @@
 	cancel()
 	assertVerdict(t, <-runningResult, teaseltack.MayHaveRun)
 }
+
+// brokenListener fails each Accept until it is closed.
+type brokenListener struct {
+	accepts atomic.Int64
+	closed  atomic.Bool
+}
+
+func (l *brokenListener) Accept() (net.Conn, error) {
+	l.accepts.Add(1)
+	if l.closed.Load() {
+		return nil, net.ErrClosed
+	}
+	return nil, errors.New("too many open files")
+}
+
+func (l *brokenListener) Close() error {
+	l.closed.Store(true)
+	return nil
+}
+
+func (*brokenListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestAFailingAcceptIsNotABusyLoop guards against a host without free descriptors that
+// spends its processor time on accepting.
+func TestAFailingAcceptIsNotABusyLoop(t *testing.T) {
+	n := newNode(t, "a")
+	listener := &brokenListener{}
+	done := make(chan struct{})
+	go func() {
+		n.links.Serve(listener)
+		close(done)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	_ = listener.Close()
+	<-done
+	assert.Assert(t, listener.accepts.Load() < 100, "%d accepts in 200 ms", listener.accepts.Load())
+}
+
+// TestTheConnectionToAnEarlierAddressIsClosed guards against connections that stay open
+// for as long as both daemons live, one for each change of an address.
+func TestTheConnectionToAnEarlierAddressIsClosed(t *testing.T) {
+	timers := &manualTimers{}
+	a, b := newNodeWith(t, "a", timers), newNode(t, "b")
+	r := newRelay(t, b.record.PeerAddress)
+	earlier := b.record
+	earlier.PeerAddress = r.listener.Addr().String()
+	_, err := a.links.Forward(t.Context(), earlier, call("x", false))
+	assert.NilError(t, err)
+	_, err = a.links.Forward(t.Context(), b.record, call("y", false))
+	assert.NilError(t, err)
+	timers.runLongerThan(20 * time.Second)
+	select {
+	case <-r.ended:
+	case <-time.After(testTimeout):
+		t.Fatal("the connection to the earlier address stays open")
+	}
+}
+
+// manualTimers runs long timers on request and others as usual.
+type manualTimers struct {
+	clock.Clock
+	mu   sync.Mutex
+	long []func()
+}
+
+func (m *manualTimers) After(delay time.Duration, run func()) func() {
+	if delay < 20*time.Second {
+		return m.Clock.After(delay, run)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.long = append(m.long, run)
+	return func() {}
+}
+
+func (m *manualTimers) runLongerThan(time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, run := range m.long {
+		run()
+	}
+}
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -34,7 +34,7 @@
 	p := l.peers[to.Host]
 	if p == nil || p.record.PeerAddress != to.PeerAddress {
 		if p != nil {
-			p.removed = true
+			l.retire(p, errAddressChanged)
 		}
 		p = &peer{record: to}
 		l.peers[to.Host] = p
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -136,9 +136,11 @@
 	}
 	connections := server.Slots
 	if table := s.follower.Table(); table != nil {
-		connections = table.Config().Upstreams[s.service()].Connections
+		if upstream := table.Config().Upstreams[s.service()]; upstream.Connections > 0 {
+			connections = min(connections, upstream.Connections)
+		}
 	}
-	s.gate.Resize(server.Slots, min(connections, server.Slots), cold)
+	s.gate.Resize(server.Slots, connections, cold)
 }
 
 func (s *Sidecar) checkHeartbeats() {
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -323,3 +323,38 @@
 	}
 	assert.Assert(t, tb.serves(h, "/read/x"))
 }
+
+// TestAReloadNamesWhatNeedsARestart guards against settings that an operator changes and
+// believes to be in force.
+func TestAReloadNamesWhatNeedsARestart(t *testing.T) {
+	t.Parallel()
+	log := &logBuffer{}
+	tb := newTestbed(t)
+	tb.log = log
+	tb.configure(read)
+	h := tb.add("orders", fake.ServerConfig{})
+	changed := *h.settings
+	changed.RetrySlack, changed.MaxWaitMs, changed.MemoryMB = 7, 50, 100
+	h.side.Reload(&changed, nil)
+	assert.Equal(t, len(log.find("settings reloaded", "applied=retry-slack", "retry-slack=7")), 1)
+	assert.Equal(t, len(log.find("need a restart", `keys="memory-mb,max-wait-ms"`)), 1)
+	h.side.Reload(&changed, nil)
+	assert.Equal(t, len(log.find("need a restart")), 2, "what still needs a restart is named again")
+}
+
+// TestTheConfiguredConnectionsBoundTheCallsInProgress guards against a server that gets
+// more connections than the operators' configuration allows.
+func TestTheConfiguredConnectionsBoundTheCallsInProgress(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t)
+	tb.maxConnections = 3
+	tb.configure(read)
+	h := tb.add("orders", fake.ServerConfig{Slots: 32, Work: 30 * time.Millisecond})
+	tb.waitFor("service", func() bool { return tb.serves(h, "/read/x") })
+	var calls sync.WaitGroup
+	for range 60 {
+		calls.Go(func() { tb.call(h, http.MethodGet, "/read/x", "") })
+	}
+	calls.Wait()
+	assert.Assert(t, h.server.MostInProgress() <= 3, "%d requests in progress at once", h.server.MostInProgress())
+}
--- a/io/side/world_test.go
+++ b/io/side/world_test.go
@@ -1,6 +1,7 @@
 package side_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -31,7 +32,9 @@
 	http    *httptest.Server
 	hosts   []*host
 	version int
-	numbers atomic.Int64
+	// maxConnections is max_conns of the configuration; 0 stands for 100.
+	maxConnections int
+	numbers        atomic.Int64
 	// log receives the log lines of all daemons; nil discards them.
 	log io.Writer
 }
@@ -40,9 +43,11 @@
 	name    string
 	service string
 	side    *side.Sidecar
-	server  *fake.Server
-	stop    context.CancelFunc
-	done    chan error
+	// settings are those of the daemon's start.
+	settings *config.SidecarSettings
+	server   *fake.Server
+	stop     context.CancelFunc
+	done     chan error
 }
 
 func newTestbed(t *testing.T) *testbed {
@@ -82,7 +87,7 @@
 		services[r.service] = true
 	}
 	for name := range services {
-		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health_path":"/health","max_conns":100}`, name))
+		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health_path":"/health","max_conns":%d}`, name, cmp.Or(tb.maxConnections, 100)))
 	}
 	tb.store.PutAsOperator(platform.ConfigKey, fmt.Appendf(nil, `{"version":"%08x","limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"a.example","rules":[%s]}],"clusters":[%s]}`,
 		tb.version, strings.Join(encoded, ","), strings.Join(clusters, ",")))
@@ -105,13 +110,14 @@
 // start runs a daemon on the host and announces the server to it.
 func (tb *testbed) start(h *host) {
 	tb.t.Helper()
-	daemon, err := side.New(&config.SidecarSettings{
+	h.settings = &config.SidecarSettings{
 		Host: h.name, DataCentre: "a", Region: "r", IP: "127.0.0.1", Service: h.service,
 		OuterAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", AnnounceAddress: "127.0.0.1:0",
 		ServerAddress: h.server.Address(), PlatformAddress: strings.TrimPrefix(tb.http.URL, "http://"),
 		MemoryMB: 200, HeartbeatS: 5, GraceS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 48,
 		MaxWaitMs: 100, MaxBodyBytes: 1 << 20, MaxRemembered: 1000, LogLevel: "info",
-	}, tb.logger())
+	}
+	daemon, err := side.New(h.settings, tb.logger())
 	assert.NilError(tb.t, err)
 	h.side = daemon
 	ctx, stop := context.WithCancel(context.Background())
--- a/verdict.go
+++ b/verdict.go
@@ -46,7 +46,6 @@
 	ReasonTicketInvalid  Reason = "ticket-invalid"
 	ReasonTicketExpired  Reason = "ticket-expired"
 	ReasonTicketOther    Reason = "ticket-of-other-incarnation"
-	ReasonTicketUsed     Reason = "ticket-used"
 	ReasonTicketsFull    Reason = "tickets-full"
 	ReasonKeyMismatch    Reason = "key-reused-with-other-request"
 	ReasonPlatform       Reason = "platform-unreachable"
