Ask a home again for the answer of a call that may run once

Ruled out: sending the call elsewhere, which could run it twice. Change: the entry asks the same home, by nonce and incarnation, over a new connection; the home runs nothing for the question, joins the run or gives the kept answer. A home that has restarted, or knows no such call, leaves may-have-run; one where nothing listens any more is not asked again. Before: TestALostAnswerIsAskedForAgain got connection-lost (may-have-run). After: the answer, for resets and silence, one run.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -210,6 +210,9 @@
 	if refusal != nil {
 		return refusedAnswer(call, refusal)
 	}
+	if call.Again {
+		return h.earlierAnswer(ctx, call, key)
+	}
 	execution, refusal := h.cfg.Tickets.Begin(key, requestChecksum(call), expires)
 	if refusal != nil {
 		return refusedAnswer(call, refusal)
@@ -220,6 +223,16 @@
 	return h.runOnce(ctx, call, key)
 }
 
+// earlierAnswer returns the result of an earlier call with the same nonce, and runs
+// nothing.
+func (h *Home) earlierAnswer(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
+	execution, refusal := h.cfg.Tickets.Find(key, requestChecksum(call), call.HomeIncarnation)
+	if refusal != nil {
+		return refusedAnswer(call, refusal)
+	}
+	return h.awaitExecution(ctx, execution)
+}
+
 // executionKey returns the key of a non-idempotent request in the ticket table, and
 // the key's expiry.
 func (h *Home) executionKey(call *teaseltack.Call) (teaseltack.Ticket, time.Time, *teaseltack.Refusal) {
--- a/core/picker/choose.go
+++ b/core/picker/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"teaseltack"
 )
 
 // probeCandidate returns an ejected home that has no probe in flight, or nil. The
@@ -22,6 +24,8 @@
 
 const (
 	tierGood tier = iota
+	// tierStopping is a home whose daemon stops and accepts calls until then.
+	tierStopping
 	// tierShedding is a home whose last reported admission level is above the
 	// call's bucket.
 	tierShedding
@@ -63,6 +67,8 @@
 		return tierUnavailable
 	case h.level(req.Method, now) > req.Bucket:
 		return tierShedding
+	case h.record.State == teaseltack.Left:
+		return tierStopping
 	}
 	return tierGood
 }
--- a/core/picker/picker.go
+++ b/core/picker/picker.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// Update replaces the homes with those of the records whose server is ready. A home
+// Update replaces the homes with those of the records whose server is ready. The home of
+// a daemon that stops is picked after those that do not. A home
 // whose incarnation and service are unchanged keeps its load and failure state.
 func (p *Picker) Update(records []teaseltack.Record) {
 	p.mu.Lock()
@@ -102,7 +103,7 @@
 	}
 	services := map[teaseltack.Service][]*home{}
 	for _, rec := range records {
-		if rec.Serving != teaseltack.Ready || rec.State == teaseltack.Dead || rec.State == teaseltack.Left {
+		if rec.Serving != teaseltack.Ready || rec.State == teaseltack.Dead {
 			continue
 		}
 		h := known[rec.Host]
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -225,6 +225,22 @@
 	return nil, nil
 }
 
+// Find returns the earlier attempt of a request under its key, which another attempt
+// began at the incarnation. It returns a refusal with the verdict MayHaveRun if that is
+// not this incarnation, or if the attempt is not known.
+func (t *Table) Find(key teaseltack.Ticket, checksum [sha256.Size]byte, incarnation teaseltack.Incarnation) (*Execution, *teaseltack.Refusal) {
+	if incarnation != t.cfg.Incarnation {
+		return nil, teaseltack.Uncertain(teaseltack.ReasonTicketOther, "host %s has restarted since the call was sent", t.cfg.Host)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.records[key]
+	if e == nil || e.checksum != checksum {
+		return nil, teaseltack.Uncertain(teaseltack.ReasonTicketExpired, "host %s has no record of the earlier call", t.cfg.Host)
+	}
+	return &Execution{Done: e.done, record: e, table: t}, nil
+}
+
 // Finish records the result of the first attempt and makes it available to the others.
 func (t *Table) Finish(key teaseltack.Ticket, answer *teaseltack.Answer) {
 	t.mu.Lock()
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -153,7 +153,7 @@
 // call sends a call and waits for its answer or the end of ctx.
 func (c *conn) call(ctx context.Context, to teaseltack.HostID, call *teaseltack.Call) (*teaseltack.Answer, error) {
 	number := c.lastNumber.Add(1)
-	sent := &outgoingCall{id: call.ID, done: make(chan callResult, 1), nonIdempotent: call.NonIdempotent}
+	sent := &outgoingCall{id: call.ID, done: make(chan callResult, 1), nonIdempotent: call.NonIdempotent, confirmed: call.Again}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -237,22 +237,16 @@
 	}
 }
 
-// abandon makes new calls use another connection. Idempotent calls and calls that
-// were not confirmed fail, so that this entry tries another home. Confirmed
-// non-idempotent calls keep waiting: they must not be sent again, and their home may
-// only be delayed.
+// abandon makes new calls use another connection and fails the pending ones: this entry
+// then tries another home, or asks the same one again for the answer of a confirmed
+// non-idempotent call.
 func (c *conn) abandon() {
 	if c.links.detach(c.peer, c) {
 		c.links.probeDataCentre(c.peer.record.DataCentre)
 	}
 	c.mu.Lock()
-	var failed []*outgoingCall
-	for number, sent := range c.outgoing {
-		if !sent.nonIdempotent || !sent.confirmed {
-			failed = append(failed, sent)
-			delete(c.outgoing, number)
-		}
-	}
+	failed := c.outgoing
+	c.outgoing = map[uint64]*outgoingCall{}
 	c.mu.Unlock()
 	for _, sent := range failed {
 		sent.done <- callResult{err: sent.refusal(teaseltack.ReasonConnection, "host %s sent nothing for at least %v", c.peer.record.Host, silentAfter)}
@@ -349,7 +343,7 @@
 		c.sendAnswer(number, refusedAnswer(request, teaseltack.Refuse(teaseltack.ReasonWrongHost, "this is host %s, the call is for host %s", c.links.cfg.Host, request.ToHost)))
 		return
 	}
-	if call.NonIdempotent {
+	if call.NonIdempotent && !call.Again {
 		call.Confirm = func(ctx context.Context) bool { return c.confirm(ctx, number) }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -198,14 +198,19 @@
 	}
 }
 
-// Forward sends the call to its home and waits for the answer. The error is a
-// *Refusal.
+// Forward sends the call to its home and waits for the answer. If the connection is lost
+// after a non-idempotent call was confirmed, it asks the home again over a new one. The
+// error is a *Refusal.
 func (l *Links) Forward(ctx context.Context, to teaseltack.Record, call *teaseltack.Call) (*teaseltack.Answer, error) {
 	c, err := l.connection(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	return c.call(ctx, to.Host, call)
+	answer, err := c.call(ctx, to.Host, call)
+	if err != nil && call.NonIdempotent && teaseltack.AsRefusal(err).Verdict != teaseltack.NotRun {
+		return l.askAgain(ctx, to, call, err)
+	}
+	return answer, err
 }
 
 // IssueTickets always refuses: links have no message for it. The home of a
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -248,6 +248,8 @@
 	dropping atomic.Bool
 	// ended gets a value for each connection whose one end was closed.
 	ended chan struct{}
+	mu    sync.Mutex
+	open  []net.Conn
 }
 
 func newRelay(t *testing.T, to string) *relay {
@@ -267,6 +269,9 @@
 				return
 			}
 			dropping := r.dropping.Load()
+			r.mu.Lock()
+			r.open = append(r.open, client, server)
+			r.mu.Unlock()
 			go r.copy(client, server, dropping)
 			go r.copy(server, client, dropping)
 		}
@@ -274,6 +279,16 @@
 	return r
 }
 
+// reset closes the open connections.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.open {
+		_ = conn.Close()
+	}
+	r.open = nil
+}
+
 // copy copies bytes from one connection to the other. Once r.dropping is set, it
 // discards them unless the connection was made later.
 func (r *relay) copy(from, to net.Conn, afterDrop bool) {
@@ -309,7 +324,9 @@
 	running := make(chan struct{})
 	answer := b.serve
 	b.serve = func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer {
-		if c.ID == "once" && c.Confirm(ctx) {
+		if c.Again {
+			<-ctx.Done()
+		} else if c.ID == "once" && c.Confirm(ctx) {
 			close(running)
 			<-t.Context().Done()
 		}
@@ -428,3 +445,58 @@
 		run()
 	}
 }
+
+// TestALostAnswerIsAskedForAgain loses the connection while a confirmed call runs. The
+// entry must get the answer of that run over a new connection: a caller who is told
+// "may have run" about a payment has to find out by hand.
+func TestALostAnswerIsAskedForAgain(t *testing.T) {
+	for name, lose := range map[string]func(*relay){
+		"reset":  (*relay).reset,
+		"silent": func(r *relay) { r.dropping.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newNode(t, "a"), newNode(t, "b")
+			r := newRelay(t, b.record.PeerAddress)
+			relayed := b.record
+			relayed.PeerAddress, relayed.Incarnation = r.listener.Addr().String(), 7
+			running, asked := make(chan struct{}), make(chan struct{})
+			var runs atomic.Int64
+			b.serve = func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer {
+				if c.Again {
+					assert.Check(t, c.HomeIncarnation == 7 && c.Nonce == "n-x")
+					close(asked)
+				} else if c.Confirm(ctx) {
+					runs.Add(1)
+					close(running)
+					<-asked
+				}
+				return &teaseltack.Answer{ID: c.ID, Nonce: c.Nonce, Status: 200, Body: []byte("done")}
+			}
+			go func() {
+				<-running
+				lose(r)
+			}()
+			answer, err := a.links.Forward(t.Context(), relayed, call("x", true))
+			assert.NilError(t, err)
+			assert.Equal(t, string(answer.Body), "done")
+			assert.Equal(t, runs.Load(), int64(1))
+		})
+	}
+}
+
+// TestAGoneHomeIsNotAskedForLong guards against a caller that waits for its deadline
+// although no daemon listens at the home any more.
+func TestAGoneHomeIsNotAskedForLong(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	b.serve = func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer {
+		assert.Check(t, c.Confirm(ctx))
+		go b.links.Close()
+		<-t.Context().Done()
+		return &teaseltack.Answer{}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err := a.links.Forward(ctx, b.record, call("x", true))
+	assertVerdict(t, err, teaseltack.MayHaveRun)
+	assert.NilError(t, ctx.Err(), "the home was asked until the deadline")
+}
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"teaseltack"
@@ -22,6 +24,8 @@
 	firstAttemptDone chan struct{}
 	// unreachable is set when an attempt fails and cleared when one succeeds.
 	unreachable bool
+	// refused is set when the host refused the last attempt: no daemon listens there.
+	refused bool
 	// removed is set when the host is no longer known or its address has changed;
 	// dialling then stops.
 	removed bool
@@ -97,6 +101,7 @@
 	l.mu.Lock()
 	firstAttempt := !p.unreachable
 	p.unreachable = err != nil
+	p.refused = errors.Is(err, syscall.ECONNREFUSED)
 	wanted := !p.removed && !l.closed
 	if err == nil && wanted {
 		p.conn = newConn(l, nc, p)
--- a/io/pool/bound_test.go
+++ b/io/pool/bound_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -82,7 +83,12 @@
 	const (
 		hostBytes = 184 << 20
 		slots     = 250
+		// memoryPercent is the part of the host's memory that the program sets as the
+		// runtime's limit.
+		memoryPercent = 70
 	)
+	before := debug.SetMemoryLimit(hostBytes * memoryPercent / 100)
+	defer debug.SetMemoryLimit(before)
 	for name, answer := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			address, closed := endlessServer(t, slots, answer.start, answer.more)
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -21,6 +21,8 @@
 	// readBuffer is the initial size of a connection's read buffer in bytes; it grows
 	// for a longer head.
 	readBuffer = 4096
+	// maxChunk is the largest buffer in bytes that is allocated at once for a body.
+	maxChunk = 256 << 10
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 64 << 10
 	// maxHeadLines bounds the lines of a head; parsing a short line takes many times
@@ -97,7 +99,7 @@
 	}
 	defer c.share.release()
 	for foreign := 0; ; foreign++ {
-		httpResponse, err := c.receiveHead(r.Method)
+		httpResponse, err := c.receiveHead(r.Method) //nolint:bodyclose // Closing it would read the rest of the body, however long.
 		if err != nil {
 			return nil, false, c.refusal(ctx, err)
 		}
@@ -186,8 +188,6 @@
 // receiveBody reads the rest of an answer and reports whether the server keeps the
 // connection open.
 func (c *conn) receiveBody(httpResponse *http.Response) (*Response, bool, error) {
-	// Closing the body would read the rest of it, however long; the connection is closed
-	// instead unless the body was read to its end.
 	body, err := c.readBody(httpResponse)
 	if err != nil {
 		return nil, false, err
@@ -229,7 +229,7 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody
 }
 
-// readBody reads the body into a buffer that grows as the bytes arrive, since a server
+// readBody reads the body in chunks that are allocated as the bytes arrive, since a server
 // may announce more than it sends.
 func (c *conn) readBody(httpResponse *http.Response) ([]byte, error) {
 	length := httpResponse.ContentLength
@@ -239,52 +239,60 @@
 	if length > c.maxAnswerBytes {
 		return nil, &oversizedError{allowed: c.maxAnswerBytes}
 	}
-	size := int64(bytes.MinRead)
-	if length >= 0 {
-		size = min(length, freeAnswerBytes)
-	}
-	body := make([]byte, 0, size)
-	if err := c.share.grow(size); err != nil {
-		return nil, err
-	}
-	for {
-		if int64(len(body)) == length {
-			return body, nil
-		}
-		if len(body) == cap(body) {
-			var err error
-			if body, err = c.growBody(body, length); err != nil {
-				return nil, err
-			}
+	var chunks [][]byte
+	read := int64(0)
+	for read != length {
+		chunk, err := c.newChunk(read, length)
+		if err != nil {
+			return nil, err
 		}
-		n, err := httpResponse.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := fill(httpResponse.Body, chunk)
+		read += int64(n)
+		chunks = append(chunks, chunk[:n])
 		switch {
-		case int64(len(body)) > c.maxAnswerBytes:
+		case read > c.maxAnswerBytes:
 			return nil, &oversizedError{allowed: c.maxAnswerBytes}
-		case err == io.EOF && (length < 0 || int64(len(body)) == length):
-			return body, nil
+		case err == io.EOF && (length < 0 || read == length):
+			return joined(chunks), nil
 		case err == io.EOF:
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
 		}
 	}
+	return joined(chunks), nil
 }
 
-// growBody returns the body in a buffer of twice its size, or of the announced length if
-// that is smaller.
-func (c *conn) growBody(body []byte, length int64) ([]byte, error) {
-	size := min(2*int64(cap(body)), c.maxAnswerBytes+1)
+// newChunk returns a buffer for the next bytes of a body of which read bytes have been
+// read: as many again, within the announced length and the allowed size.
+func (c *conn) newChunk(read, length int64) ([]byte, error) {
+	size := min(max(read, bytes.MinRead), maxChunk, c.maxAnswerBytes+1-read)
 	if length >= 0 {
-		size = min(size, length)
+		size = min(max(size, freeAnswerBytes), length-read)
 	}
-	if err := c.share.grow(size - int64(cap(body))); err != nil {
+	if err := c.share.grow(size); err != nil {
 		return nil, err
 	}
-	grown := make([]byte, len(body), size)
-	copy(grown, body)
-	return grown, nil
+	return make([]byte, size), nil
+}
+
+// fill reads until the chunk is full or the body has ended. Unlike io.ReadFull it leaves
+// io.ErrUnexpectedEOF to bodies that were cut off.
+func fill(body io.Reader, chunk []byte) (n int, err error) {
+	for n < len(chunk) && err == nil {
+		var more int
+		more, err = body.Read(chunk[n:])
+		n += more
+	}
+	return n, err
+}
+
+// joined returns the chunks as one body.
+func joined(chunks [][]byte) []byte {
+	if len(chunks) == 1 {
+		return chunks[0]
+	}
+	return bytes.Join(chunks, nil)
 }
 
 // updateKeepAlive applies the timeout of the server's Keep-Alive header.
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -117,10 +117,7 @@
 	if !s.tombstonesRead.Load() && serving == teaseltack.Ready {
 		serving = teaseltack.Absent
 	}
-	if s.stopping.Load() && serving == teaseltack.Ready {
-		serving = teaseltack.Leaving
-	}
-	s.home.SetServing(s.service(), serving)
+	s.home.SetServing(s.service(), s.acceptedAs(serving))
 	s.roster.Update(func(r *teaseltack.Record) {
 		r.Serving = serving
 		r.Slots = server.Slots
@@ -130,6 +127,16 @@
 	})
 }
 
+// acceptedAs returns the state in which the home treats the calls that arrive. A
+// stopping daemon accepts calls until it closes: the other daemons prefer homes that do
+// not stop, and two homes of a small service may stop together.
+func (s *Sidecar) acceptedAs(serving teaseltack.Serving) teaseltack.Serving {
+	if s.closing.Load() && serving == teaseltack.Ready {
+		return teaseltack.Leaving
+	}
+	return serving
+}
+
 func (s *Sidecar) resize(server health.Server, cold bool) {
 	if server.Slots == 0 {
 		return
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -74,6 +74,9 @@
 	// requests to an eighth of it. How long a request without a ticket is remembered
 	// after its deadline is set in package home.
 	ticketLifetime = 10 * time.Second
+	// maxKeptAnswers bounds the bodies, in bytes, of answers that are kept for entries
+	// whose connection was lost.
+	maxKeptAnswers = 4 << 20
 	// retryFraction is the fraction of the settings' retry-ratio that the entries
 	// spend on calls that did not run, since each level of a chain of four may add
 	// retries of its own.
@@ -120,8 +123,10 @@
 	listeners       *listeners
 
 	translator platform.Translator
-	// stopping is set when the shutdown begins, refusing when new requests are refused.
+	// stopping is set when the shutdown begins, closing when the calls of other hosts are
+	// refused, and refusing when new requests are refused.
 	stopping         atomic.Bool
+	closing          atomic.Bool
 	refusing         atomic.Bool
 	storeUnreachable atomic.Bool
 	// configuredAt is when the configuration came into force; nil while there is none.
@@ -167,7 +172,7 @@
 	s.pool = s.newPool()
 	s.tickets = ticket.New(ticket.Config{
 		Timers: s.timers, Rand: source, Host: host, Incarnation: incarnation,
-		Lifetime: ticketLifetime, MaxRecords: int(c.MaxRemembered),
+		Lifetime: ticketLifetime, MaxRecords: int(c.MaxRemembered), MaxKeptBytes: maxKeptAnswers,
 	})
 	logger := reqlog.New(reqlog.Config{Timers: s.timers, Log: s.log, Generation: func() teaseltack.Generation {
 		generation, _ := s.follower.Current()
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -358,3 +358,44 @@
 	calls.Wait()
 	assert.Assert(t, h.server.MostInProgress() <= 3, "%d requests in progress at once", h.server.MostInProgress())
 }
+
+// TestAStoppingDaemonServesOthersToItsLastCall stops all daemons of a service at once, as
+// two stops of a small service may. The service must not be away before they end.
+func TestAStoppingDaemonServesOthersToItsLastCall(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t)
+	tb.configure(read, write)
+	entry := tb.add("till", fake.ServerConfig{})
+	stopping := []*host{tb.add("orders", fake.ServerConfig{}), tb.add("orders", fake.ServerConfig{})}
+	tb.waitFor("all hosts", func() bool { return entry.knowsHosts(len(tb.hosts)) && tb.serves(entry, "/read/x") })
+	for _, h := range stopping {
+		h.stop()
+	}
+	const servedFor = 1500 * time.Millisecond // Below the time that a stopping daemon serves.
+	for end := time.Now().Add(servedFor); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		got := tb.call(entry, http.MethodGet, "/read/x", "")
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+}
+
+// TestOthersAreCalledBeforeAStoppingDaemon guards against work that a stopping daemon
+// gets although another one could run it.
+func TestOthersAreCalledBeforeAStoppingDaemon(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t)
+	tb.configure(read, write)
+	entry := tb.add("till", fake.ServerConfig{})
+	stopping := tb.add("orders", fake.ServerConfig{})
+	tb.add("orders", fake.ServerConfig{})
+	tb.waitFor("all hosts", func() bool { return entry.knowsHosts(len(tb.hosts)) && tb.serves(entry, "/read/x") })
+	stopping.stop()
+	tb.waitFor("the news of the stop", func() bool {
+		before := len(stopping.server.Runs())
+		for range 10 {
+			tb.call(entry, http.MethodGet, "/read/x", "")
+		}
+		return len(stopping.server.Runs()) == before
+	})
+	assert.NilError(t, <-stopping.done)
+	stopping.done <- nil
+}
--- a/io/side/stop.go
+++ b/io/side/stop.go
@@ -8,8 +8,8 @@
 
 const (
 	// minDrainTime is the minimum time for which a stopping daemon keeps serving new
-	// requests: the platform probes the readiness each second and routes callers
-	// elsewhere after two failed probes.
+	// requests and the calls of other hosts: the platform probes the readiness each
+	// second and routes callers elsewhere after two failed probes.
 	minDrainTime = 2300 * time.Millisecond
 	// refuseAfter is the time after which a stopping daemon refuses new requests,
 	// since callers that still arrive cannot be served to the end. It refuses them
@@ -32,6 +32,9 @@
 	maxDrain := seconds(s.settings.GraceS) - exitMargin
 	for abort.Err() == nil {
 		elapsed := s.timers.Now().Sub(started)
+		if elapsed >= min(minDrainTime, maxDrain/2) && !s.closing.Swap(true) {
+			s.applyServing()
+		}
 		if elapsed >= min(refuseAfter, maxDrain/2) {
 			s.refusing.Store(true)
 		}
@@ -41,6 +44,9 @@
 		time.Sleep(drainPollPeriod)
 	}
 	s.refusing.Store(true)
+	if !s.closing.Swap(true) {
+		s.applyServing()
+	}
 	for abort.Err() == nil && s.outerServer.CloseIdle()+s.home.InFlight()+s.links.Pending() > 0 && s.timers.Now().Sub(started) < maxDrain {
 		time.Sleep(drainPollPeriod)
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -39,6 +39,8 @@
 		Authority:     c.Payload.Authority,
 		Path:          c.Payload.Path,
 		Caller:        string(c.Caller),
+		Again:         c.Again,
+		Incarnation:   uint64(c.HomeIncarnation),
 	}
 }
 
@@ -56,16 +58,18 @@
 		return nil, fmt.Errorf("retries is %d, allowed are 0 and more", m.Retries)
 	}
 	return &teaseltack.Call{
-		ID:            teaseltack.RequestID(m.RequestId),
-		Nonce:         teaseltack.Nonce(m.Nonce),
-		Target:        teaseltack.Target{Service: teaseltack.Service(m.Service), Method: teaseltack.Method(m.Method)},
-		Priority:      teaseltack.Priority{Class: teaseltack.Class(m.Class), Nested: m.Nested, Rank: m.Rank},
-		NonIdempotent: m.NonIdempotent,
-		Caller:        teaseltack.Service(m.Caller),
-		Deadline:      now.Add(lifetime),
-		Retries:       teaseltack.Retries(m.Retries),
-		Ticket:        teaseltack.Ticket(m.Ticket),
-		Payload:       teaseltack.Payload{Verb: m.Verb, Authority: m.Authority, Path: m.Path, Query: m.Query, Headers: headersIn(m.Headers), Body: m.Body},
+		ID:              teaseltack.RequestID(m.RequestId),
+		Nonce:           teaseltack.Nonce(m.Nonce),
+		Target:          teaseltack.Target{Service: teaseltack.Service(m.Service), Method: teaseltack.Method(m.Method)},
+		Priority:        teaseltack.Priority{Class: teaseltack.Class(m.Class), Nested: m.Nested, Rank: m.Rank},
+		NonIdempotent:   m.NonIdempotent,
+		Caller:          teaseltack.Service(m.Caller),
+		Deadline:        now.Add(lifetime),
+		Retries:         teaseltack.Retries(m.Retries),
+		Ticket:          teaseltack.Ticket(m.Ticket),
+		Again:           m.Again,
+		HomeIncarnation: teaseltack.Incarnation(m.Incarnation),
+		Payload:         teaseltack.Payload{Verb: m.Verb, Authority: m.Authority, Path: m.Path, Query: m.Query, Headers: headersIn(m.Headers), Body: m.Body},
 	}, nil
 }
 
--- a/message.go
+++ b/message.go
@@ -46,6 +46,13 @@
 	// sent it to another home. It is set only for a non-idempotent call that arrived
 	// over io/link; nil means that the call needs no confirmation.
 	Confirm func(context.Context) bool
+	// Again asks for the answer of an earlier non-idempotent call with the same nonce,
+	// whose connection was lost after its entry had confirmed it. The home runs nothing
+	// for it.
+	Again bool
+	// HomeIncarnation is the incarnation of the home that the entry knew when it sent
+	// the earlier call; set with Again.
+	HomeIncarnation Incarnation
 }
 
 // Load is the load that a home reports with every answer.
