Let the server of the body test keep whole answers' connections open

Cause: the server of TestABodyIsWholeOrTheAnswerIsRefused closed a connection after a whole answer without saying so; the pool may use it again before the end arrives.

--- a/io/pool/body_test.go
+++ b/io/pool/body_test.go
@@ -19,9 +19,10 @@
 func TestABodyIsWholeOrTheAnswerIsRefused(t *testing.T) {
 	const maxBody = 700_000
 	var answer []byte
+	var whole bool
 	s := newServer(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = conn.Write(answer)
-		return false
+		_, err := conn.Write(answer)
+		return whole && err == nil
 	})
 	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: maxBody, MaxReadingBytes: 2 * maxBody})
 	p.SetAddress(s.listener.Addr().String())
@@ -33,7 +34,7 @@
 		} else {
 			answer = append([]byte(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body))), body...)
 		}
-		whole := rapid.Bool().Draw(t, "whole")
+		whole = rapid.Bool().Draw(t, "whole")
 		if !whole {
 			answer = answer[:rapid.IntRange(0, len(answer)-1).Draw(t, "cut at")]
 		}
