--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -252,9 +252,9 @@
 		switch {
 		case read > c.maxAnswerBytes:
 			return nil, &oversizedError{allowed: c.maxAnswerBytes}
-		case err == io.EOF && (length < 0 || read == length):
+		case errors.Is(err, io.EOF) && (length < 0 || read == length):
 			return joined(chunks), nil
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
