Confirm idempotent calls too on connections that may be cut off

Cause: an idempotent call that was sent into a cut could not be told from one that ran, so its caller got 502 although nothing had run. Ruled out: calls without time left, refused nested calls and daemons that stop; they made the rest. A confirmation for every call, which costs a round trip each. Change: a call on a connection with pending calls that received nothing for 100 ms is confirmed before it runs, as non-idempotent calls are. TestCallsIntoASilentConnectionHaveNotRun failed first.

--- a/io/link/confirm.go
+++ b/io/link/confirm.go
@@ -6,7 +6,7 @@
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 )
 
-// confirm asks the entry of a non-idempotent call, with a ready frame, whether it
+// confirm asks the entry of a call that needs it, with a ready frame, whether it
 // still waits for the call, and reports whether the entry confirmed this with a
 // proceed frame. If the connection breaks or falls silent before the entry has
 // confirmed, the entry knows that the call has not run and tries another home.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -28,6 +28,10 @@
 	maxKeptBuffer = 64 << 10
 	// checkPeriod is the period of checking a connection that has pending calls.
 	checkPeriod = 150 * time.Millisecond
+	// suspectAfter is the time without a received frame after which idempotent calls are
+	// confirmed as well. A confirmation costs a round trip, so it is left out on
+	// connections that carry answers.
+	suspectAfter = 100 * time.Millisecond
 	// pingAfter is the time without a received frame after which a ping is sent.
 	pingAfter = 250 * time.Millisecond
 	// confirmTimeout bounds the time that a home waits for the entry's confirmation;
@@ -79,17 +83,18 @@
 type outgoingCall struct {
 	// id is set in the answer, which is sent without it: the frame number identifies
 	// the call, and the nonce shows that the answer belongs to it.
-	id            teaseltack.RequestID
-	done          chan callResult
-	nonIdempotent bool
-	// confirmed is set when this entry confirms a non-idempotent call to its home;
-	// until then the call has not run.
+	id   teaseltack.RequestID
+	done chan callResult
+	// needsConfirm is set if the home asks for a confirmation before it runs the call.
+	needsConfirm bool
+	// confirmed is set when this entry confirms the call to its home; until then a call
+	// that needs it has not run.
 	confirmed bool
 }
 
 // mayHaveRun reports whether the home may have run the call.
 func (o *outgoingCall) mayHaveRun() bool {
-	return !o.nonIdempotent || o.confirmed
+	return !o.needsConfirm || o.confirmed
 }
 
 // refusal returns the refusal of a call that got no answer; its verdict is MayHaveRun
@@ -153,7 +158,9 @@
 // call sends a call and waits for its answer or the end of ctx.
 func (c *conn) call(ctx context.Context, to teaseltack.HostID, call *teaseltack.Call) (*teaseltack.Answer, error) {
 	number := c.lastNumber.Add(1)
-	sent := &outgoingCall{id: call.ID, done: make(chan callResult, 1), nonIdempotent: call.NonIdempotent, confirmed: call.Again}
+	toSend := *call
+	toSend.ConfirmFirst = !call.NonIdempotent && c.isSuspect()
+	sent := &outgoingCall{id: call.ID, done: make(chan callResult, 1), needsConfirm: call.NonIdempotent || toSend.ConfirmFirst, confirmed: call.Again}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -162,7 +169,7 @@
 	c.outgoing[number] = sent
 	c.startChecks()
 	c.mu.Unlock()
-	request := wire.Codec{}.CallOut(to, call, c.links.cfg.Timers.Now())
+	request := wire.Codec{}.CallOut(to, &toSend, c.links.cfg.Timers.Now())
 	c.send(&peerv1.Frame{Number: number, Call: request})
 	select {
 	case result := <-sent.done:
@@ -213,11 +220,25 @@
 	c.scheduleCheck()
 }
 
+// isSuspect reports whether the connection has pending calls and received nothing for
+// suspectAfter. The peer may then be cut off, so that calls need a proof that they have
+// not run.
+func (c *conn) isSuspect() bool {
+	c.mu.Lock()
+	pending := len(c.outgoing)
+	c.mu.Unlock()
+	return pending > 0 && c.silence() >= suspectAfter
+}
+
+// silence returns the time since the last frame was received.
+func (c *conn) silence() time.Duration {
+	return time.Duration(c.links.cfg.Timers.Now().UnixNano() - c.lastReceived.Load())
+}
+
 // check pings a connection on which no frame was received for pingAfter and abandons
 // it after silentAfter.
 func (c *conn) check() {
-	now := c.links.cfg.Timers.Now()
-	silence := time.Duration(now.UnixNano() - c.lastReceived.Load())
+	silence := c.silence()
 	c.mu.Lock()
 	c.checkScheduled = false
 	if c.lastReceived.Load() > c.probedAt {
@@ -343,7 +364,7 @@
 		c.sendAnswer(number, refusedAnswer(request, teaseltack.Refuse(teaseltack.ReasonWrongHost, "this is host %s, the call is for host %s", c.links.cfg.Host, request.ToHost)))
 		return
 	}
-	if call.NonIdempotent && !call.Again {
+	if (call.NonIdempotent || call.ConfirmFirst) && !call.Again {
 		call.Confirm = func(ctx context.Context) bool { return c.confirm(ctx, number) }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -381,8 +402,8 @@
 }
 
 // close closes the connection once, cancels the peer's calls and fails the pending
-// calls to the peer. These may have run, except non-idempotent calls that were not
-// confirmed.
+// calls to the peer. These may have run, except calls that were not confirmed and need
+// it.
 func (c *conn) close(cause error) {
 	c.mu.Lock()
 	if c.closed {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -500,3 +500,62 @@
 	assertVerdict(t, err, teaseltack.MayHaveRun)
 	assert.NilError(t, ctx.Err(), "the home was asked until the deadline")
 }
+
+// TestCallsIntoASilentConnectionHaveNotRun cuts the connection while a call is pending.
+// Idempotent calls that are sent later, before the connection counts as silent, must be
+// known not to have run: their callers can be served elsewhere or told so.
+func TestCallsIntoASilentConnectionHaveNotRun(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	r := newRelay(t, b.record.PeerAddress)
+	relayed := b.record
+	relayed.PeerAddress = r.listener.Addr().String()
+	running := make(chan struct{})
+	answer := b.serve
+	b.serve = func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer {
+		if c.ID == "pending" {
+			close(running)
+			<-t.Context().Done()
+		}
+		return answer(ctx, c)
+	}
+	pending := make(chan error, 1)
+	go func() {
+		_, err := a.links.Forward(t.Context(), relayed, call("pending", false))
+		pending <- err
+	}()
+	<-running
+	r.dropping.Store(true)
+	time.Sleep(200 * time.Millisecond) // Below the time after which the connection counts as silent.
+	_, err := a.links.Forward(t.Context(), relayed, call("later", false))
+	assertVerdict(t, err, teaseltack.NotRun)
+	assertVerdict(t, <-pending, teaseltack.MayHaveRun)
+}
+
+// TestASuspectConnectionStillServes guards against calls that fail because their home is
+// slow rather than away.
+func TestASuspectConnectionStillServes(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	release := make(chan struct{})
+	answer := b.serve
+	b.serve = func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer {
+		if c.ID == "slow" {
+			<-release
+			return answer(ctx, c)
+		}
+		if c.Confirm != nil && !c.Confirm(ctx) {
+			return &teaseltack.Answer{ID: c.ID, Nonce: c.Nonce, Refusal: teaseltack.Refuse(teaseltack.ReasonConnection, "not confirmed")}
+		}
+		return answer(ctx, c)
+	}
+	slow := make(chan error, 1)
+	go func() {
+		_, err := a.links.Forward(t.Context(), b.record, call("slow", false))
+		slow <- err
+	}()
+	time.Sleep(150 * time.Millisecond)
+	got, err := a.links.Forward(t.Context(), b.record, call("next", false))
+	assert.NilError(t, err)
+	assert.Assert(t, got.Refusal == nil, "%v", got.Refusal)
+	close(release)
+	assert.NilError(t, <-slow)
+}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -40,6 +40,7 @@
 		Path:          c.Payload.Path,
 		Caller:        string(c.Caller),
 		Again:         c.Again,
+		Confirm:       c.ConfirmFirst,
 		Incarnation:   uint64(c.HomeIncarnation),
 	}
 }
@@ -68,6 +69,7 @@
 		Retries:         teaseltack.Retries(m.Retries),
 		Ticket:          teaseltack.Ticket(m.Ticket),
 		Again:           m.Again,
+		ConfirmFirst:    m.Confirm,
 		HomeIncarnation: teaseltack.Incarnation(m.Incarnation),
 		Payload:         teaseltack.Payload{Verb: m.Verb, Authority: m.Authority, Path: m.Path, Query: m.Query, Headers: headersIn(m.Headers), Body: m.Body},
 	}, nil
--- a/message.go
+++ b/message.go
@@ -41,10 +41,13 @@
 	Ticket   Ticket
 	Key      string
 	Payload  Payload
+	// ConfirmFirst requests the confirmation for an idempotent call; a non-idempotent
+	// one always needs it.
+	ConfirmFirst bool
 	// Confirm asks the entry, right before the dispatch, whether it still waits for
 	// the call. False means that the call must not run, since its entry may have
-	// sent it to another home. It is set only for a non-idempotent call that arrived
-	// over io/link; nil means that the call needs no confirmation.
+	// sent it to another home. It is set only for a call that needs a confirmation and
+	// arrived over io/link; nil means that the call needs none.
 	Confirm func(context.Context) bool
 	// Again asks for the answer of an earlier non-idempotent call with the same nonce,
 	// whose connection was lost after its entry had confirmed it. The home runs nothing
