--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Every command that CI runs has a target here.
 RAPID := -rapid.seed=20261204 -rapid.checks=200
 
+FUZZTIME := 60s
+
 SOAK := -soak.seed=$(shell date +%s) -soak.seeds=20
 
-.PHONY: all build test test-long race soak lint generate measure slopes bench demo clean
+.PHONY: all build test test-long race soak fuzz lint generate measure slopes bench demo clean
 
 all: build test lint
 
@@ -22,6 +24,9 @@
 soak:
 	go test ./e2e/soak -v -timeout 60m -run TestSoak $(SOAK)
 
+fuzz:
+	scripts/fuzz $(FUZZTIME)
+
 lint:
 	scripts/lint
 
--- a/core/roster/writer.go
+++ b/core/roster/writer.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"strings"
+	"net"
 	"time"
 
 	"teaseltack"
@@ -209,21 +209,30 @@
 // for example because another writer corrupted it.
 func decodeRecord(key, prefix string, value []byte) (teaseltack.Record, bool) {
 	var e storedRecord
-	if err := json.Unmarshal(value, &e); err != nil || e.Host == "" || prefix+e.Host != key || !strings.Contains(e.PeerAddress, ":") {
+	if err := json.Unmarshal(value, &e); err != nil || e.Host == "" || prefix+e.Host != key || e.Slots < 0 {
+		return teaseltack.Record{}, false
+	}
+	serving, known := servingNamed(e.Serving)
+	if _, port, err := net.SplitHostPort(e.PeerAddress); err != nil || port == "" || !known {
 		return teaseltack.Record{}, false
 	}
 	record := teaseltack.Record{
 		Host: teaseltack.HostID(e.Host), Incarnation: teaseltack.Incarnation(e.Incarnation), Version: e.Version,
 		DataCentre: teaseltack.DataCentre(e.DataCentre), Region: teaseltack.Region(e.Region), PeerAddress: e.PeerAddress,
-		Service: teaseltack.Service(e.Service), Slots: e.Slots,
+		Service: teaseltack.Service(e.Service), Slots: e.Slots, Serving: serving,
 	}
 	if e.Stopping {
 		record.State = teaseltack.Left
 	}
+	return record, true
+}
+
+// servingNamed returns the serving state with the name.
+func servingNamed(name string) (teaseltack.Serving, bool) {
 	for _, s := range []teaseltack.Serving{teaseltack.Absent, teaseltack.Ready, teaseltack.Leaving} {
-		if s.String() == e.Serving {
-			record.Serving = s
+		if s.String() == name {
+			return s, true
 		}
 	}
-	return record, true
+	return teaseltack.Absent, false
 }
--- a/core/tomb/tomb.go
+++ b/core/tomb/tomb.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	maxTombstones = 8
 )
 
+// ErrUnreadable means that the stored value holds no tombstones, as after a write by
+// another program. The next Write replaces it.
+var ErrUnreadable = errors.New("the stored tombstones are unreadable")
+
 // Config configures Tombstones.
 type Config struct {
 	Store teaseltack.Store
@@ -59,8 +64,8 @@
 			continue
 		}
 		s.revision = item.Revision
-		if err := json.Unmarshal(item.Value, &list); err != nil {
-			return nil, fmt.Errorf("decoding the tombstones at %s: %w", s.cfg.Key, err)
+		if list, err = decode(item.Value); err != nil {
+			return nil, fmt.Errorf("decoding the tombstones at %s: %w: %w", s.cfg.Key, ErrUnreadable, err)
 		}
 	}
 	for _, tombstone := range list {
@@ -69,6 +74,15 @@
 	return list, nil
 }
 
+// decode decodes the stored form and leaves out tombstones that name no server.
+func decode(value []byte) ([]health.Tombstone, error) {
+	var list []health.Tombstone
+	if err := json.Unmarshal(value, &list); err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(list, func(t health.Tombstone) bool { return t.Instance == "" || t.BornMs < 0 }), nil
+}
+
 // add appends a tombstone unless it is known. s.mu must be held.
 func (s *Tombstones) add(tombstone health.Tombstone) {
 	for _, known := range s.tombstones {
@@ -89,7 +103,7 @@
 	if !errors.Is(err, teaseltack.ErrConflict) {
 		return err
 	}
-	if _, err := s.Read(ctx); err != nil {
+	if _, err := s.Read(ctx); err != nil && !errors.Is(err, ErrUnreadable) {
 		return err
 	}
 	return s.write(ctx, tombstone)
--- a/core/tomb/tomb_test.go
+++ b/core/tomb/tomb_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,47 @@
 	_, err := tomb.New(tomb.Config{Store: store, Key: "left"}).Read(t.Context())
 	assert.ErrorContains(t, err, "decoding the tombstones at left")
 }
+
+// Guards against tombstones that are never stored again because another program wrote
+// to their key: a server that left would be used again after the next restart.
+func TestUnreadableTombstonesAreReplaced(t *testing.T) {
+	for _, value := range []string{"", "{", "[1]", `{"instance":"a"}`} {
+		store := &fakeStore{value: []byte(value), revision: 5}
+		tombstones := tomb.New(tomb.Config{Store: store, Key: "left"})
+		_, err := tombstones.Read(t.Context())
+		assert.ErrorIs(t, err, tomb.ErrUnreadable)
+		for _, writer := range []*tomb.Tombstones{tombstones, tomb.New(tomb.Config{Store: store, Key: "left"})} {
+			store.value = []byte(value)
+			store.revision++
+			assert.NilError(t, writer.Write(t.Context(), first))
+			list, err := tomb.New(tomb.Config{Store: store, Key: "left"}).Read(t.Context())
+			assert.NilError(t, err)
+			assert.DeepEqual(t, list, []health.Tombstone{first})
+		}
+	}
+}
+
+// FuzzRead reads arbitrary bytes as tombstones. Each one that is returned must name a
+// server, and a later write must be readable.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`[{"instance":"a","born-ms":1}]`))
+	f.Add([]byte(`[{"instance":"","born-ms":-1},{}]`))
+	f.Add([]byte(`[1`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		store := &fakeStore{value: value, revision: 1}
+		tombstones := tomb.New(tomb.Config{Store: store, Key: "left"})
+		list, err := tombstones.Read(t.Context())
+		if err != nil && !errors.Is(err, tomb.ErrUnreadable) {
+			t.Fatalf("%q: %v", value, err)
+		}
+		for _, tombstone := range list {
+			if tombstone.Instance == "" || tombstone.BornMs < 0 {
+				t.Fatalf("%q: %+v names no server", value, tombstone)
+			}
+		}
+		assert.NilError(t, tombstones.Write(t.Context(), second))
+		list, err = tombstones.Read(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, slices.Contains(list, second))
+	})
+}
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -90,3 +90,20 @@
 		}
 	})
 }
+
+// Guards against settings of a sidecar that are outside of what is allowed, whatever the
+// template renders.
+func FuzzParseSidecar(f *testing.F) {
+	f.Add([]byte(`{"host": "h", "data-centre": "a", "service": "s", "ip": "127.0.0.1", "outer-address": "127.0.0.1:1", "ready-address": "127.0.0.1:2", "announce-address": "127.0.0.1:3",
+		"server-address": "127.0.0.1:4", "platform-address": "127.0.0.1:5", "peer-port": 6, "metrics-port": 7, "memory-mb": 184, "heartbeat-s": 1, "grace-s": 6, "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 48}`))
+	f.Add([]byte(`{"memory-mb": 1e300, "grace-s": -1}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		settings, err := config.ParseSidecar("f", text)
+		if (settings == nil) == (err == nil) {
+			t.Fatalf("settings %v, error %v", settings, err)
+		}
+		if err == nil && (settings.Host == "" || settings.MemoryMB < 16 || settings.GraceS <= 0 || settings.MaxWaitMs < 1) {
+			t.Fatalf("accepted %+v", settings)
+		}
+	})
+}
--- /dev/null
+++ b/io/pool/fuzz_test.go
@@ -0,0 +1,74 @@
+package pool_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"teaseltack"
+	"teaseltack/io/clock"
+	"teaseltack/io/pool"
+)
+
+// FuzzAnswer lets a server answer with arbitrary bytes and then close the connection. A
+// result must be what the standard library reads from the same bytes as the request's
+// own answer, and any other outcome may have run.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(completeAnswer("a", "own")))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + completeAnswer("b", "old") + completeAnswer("a", "own")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: 1\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\n" + idHeader + ": a\n\nto the end"))
+	f.Add([]byte("HTTP/1.1 204 No Content\r\n" + idHeader + ": a\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Skip(err)
+		}
+		defer func() { _ = listener.Close() }()
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = conn.Write(sent)
+			}
+		}()
+		p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, MaxReadingBytes: 1 << 20})
+		p.SetAddress(listener.Addr().String())
+		response, err := do(t, p, "a")
+		if err != nil {
+			if teaseltack.AsRefusal(err).Verdict != teaseltack.MayHaveRun {
+				t.Fatalf("%q: %v", sent, err)
+			}
+			return
+		}
+		want, body := ownAnswer(sent)
+		if want == nil || response.Status != want.StatusCode || !bytes.Equal(response.Body, body) {
+			t.Fatalf("%q gave %d %q", sent, response.Status, response.Body)
+		}
+	})
+}
+
+// ownAnswer returns the first answer with the id "a", as the standard library reads it.
+func ownAnswer(sent []byte) (*http.Response, []byte) {
+	reader := bufio.NewReader(bytes.NewReader(sent))
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
+		if err != nil {
+			return nil, nil
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return nil, nil
+		}
+		if response.Header.Get(idHeader) == "a" {
+			return response, body
+		}
+	}
+}
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -8,6 +8,7 @@
 
 	"teaseltack"
 	"teaseltack/core/health"
+	"teaseltack/core/tomb"
 	"teaseltack/platform"
 )
 
@@ -95,6 +96,11 @@
 			s.finishRestore()
 			return
 		}
+		if errors.Is(err, tomb.ErrUnreadable) {
+			s.log.Error("tombstones not read; a late heartbeat may register a server that left", "error", err)
+			s.finishRestore()
+			return
+		}
 		s.log.Warn("tombstones not read, retrying", "error", err)
 		time.Sleep(pause)
 	}
