Read the records again before a missing host is taken as gone

Its watch had reported that the store ended all leases, and then fell silent in a proxy that acknowledges and discards; the timer removed the records 2.5 s later though the hosts had written them again, and the watch was given up only after 19 s. Ruled out: load. Change: the timer makes the roster read all records again, and only what is still missing then is removed; records of daemons that stopped go at once. One more read per host when a daemon is lost without a stop.

--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -29,8 +29,11 @@
 	changed    chan struct{}
 	down       bool
 	loseAnswer bool
-	writes     int
-	reads      int
+	// silentAfter makes each watch that continues from this revision, or a later one,
+	// hang until its context ends; 0 makes none hang.
+	silentAfter uint64
+	writes      int
+	reads       int
 	// answered counts the successful lists and the watches that returned changes.
 	answered int
 }
@@ -82,6 +85,13 @@
 
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]teaseltack.Item, uint64, error) {
 	timeout := time.After(wait)
+	s.mu.Lock()
+	silent := s.silentAfter > 0 && after >= s.silentAfter
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	for {
 		s.mu.Lock()
 		s.reads++
@@ -407,3 +417,23 @@
 		}
 	})
 }
+
+// TestASilentWatchDoesNotEmptyTheView guards against hosts that are taken as gone because
+// the watch reported the removal of their records and then fell silent, so that it missed
+// their return (soak seed 20261311).
+func TestASilentWatchDoesNotEmptyTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a, _, _ := start(t, store, "a"), start(t, store, "b"), start(t, store, "c")
+		time.Sleep(10 * time.Second)
+		store.removeAll()
+		store.mu.Lock()
+		store.silentAfter = store.revision
+		store.mu.Unlock()
+		for range 40 {
+			time.Sleep(500 * time.Millisecond)
+			assert.Assert(t, hasRecord(a, "b") && hasRecord(a, "c"), "a host was taken as gone")
+		}
+		assert.DeepEqual(t, store.keys(), []string{"h/a", "h/b", "h/c"})
+	})
+}
--- a/core/roster/watch.go
+++ b/core/roster/watch.go
@@ -142,7 +142,7 @@
 	for _, item := range items {
 		changed = r.applyItemLocked(item, now) || changed
 	}
-	changed = r.expireLocked(now) || changed
+	changed = r.expireLocked(now, func(*member) bool { return true }) || changed
 	r.mu.Unlock()
 	if changed {
 		r.notify()
@@ -180,37 +180,49 @@
 }
 
 // expireOnTimer runs on a timer, so that missing records are removed even if the
-// store reports no further change.
+// store reports no further change. The watch may have fallen silent since it reported
+// the removal, and the records may be back: they are read again, and apply removes those
+// that are still missing. The records of daemons that stopped are removed without that.
 func (r *Roster) expireOnTimer() {
 	r.mu.Lock()
 	now := r.cfg.Timers.Now()
-	changed := r.expireLocked(now)
-	pending := false
+	changed := r.expireLocked(now, func(m *member) bool { return m.record.State == teaseltack.Left })
+	pending, overdue := false, false
 	for _, m := range r.members {
 		pending = pending || !m.missingSince.IsZero()
+		overdue = overdue || r.isOverdueLocked(m, now)
 	}
 	r.mu.Unlock()
 	if changed {
 		r.notify()
 	}
+	if overdue {
+		r.Refresh()
+	}
 	if pending && r.ctx.Err() == nil {
 		r.cfg.Timers.After(missingTimeout/2, r.expireOnTimer)
 	}
 }
 
-// expireLocked removes the records that were missing from a responding store for
-// missingTimeout. A stopped daemon needs no timeout: its last record has the state
+// expireLocked removes the matching records that were missing from a responding store
+// for missingTimeout. A stopped daemon needs no timeout: its last record has the state
 // Left, which applies at once.
-func (r *Roster) expireLocked(now time.Time) bool {
-	if r.respondingSince.IsZero() || now.Sub(r.respondingSince) < missingTimeout {
-		return false
-	}
+func (r *Roster) expireLocked(now time.Time, matches func(*member) bool) bool {
 	changed := false
 	for host, m := range r.members {
-		if !m.missingSince.IsZero() && now.Sub(m.missingSince) >= missingTimeout {
+		if r.isOverdueLocked(m, now) && matches(m) {
 			delete(r.members, host)
 			changed = true
 		}
 	}
 	return changed
 }
+
+// isOverdueLocked reports whether the record was missing from a responding store for
+// missingTimeout.
+func (r *Roster) isOverdueLocked(m *member, now time.Time) bool {
+	if r.respondingSince.IsZero() || now.Sub(r.respondingSince) < missingTimeout {
+		return false
+	}
+	return !m.missingSince.IsZero() && now.Sub(m.missingSince) >= missingTimeout
+}
