--- a/io/pool/fuzz_test.go
+++ b/io/pool/fuzz_test.go
@@ -47,28 +47,29 @@
 			}
 			return
 		}
-		want, body := ownAnswer(sent)
-		if want == nil || response.Status != want.StatusCode || !bytes.Equal(response.Body, body) {
+		status, body := ownAnswer(sent)
+		if response.Status != status || !bytes.Equal(response.Body, body) {
 			t.Fatalf("%q gave %d %q", sent, response.Status, response.Body)
 		}
 	})
 }
 
-// ownAnswer returns the first answer with the id "a", as the standard library reads it.
-func ownAnswer(sent []byte) (*http.Response, []byte) {
+// ownAnswer returns the status and the body of the first answer with the id "a", as the
+// standard library reads it; status 0 means that there is none.
+func ownAnswer(sent []byte) (status int, body []byte) {
 	reader := bufio.NewReader(bytes.NewReader(sent))
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
 		if err != nil {
-			return nil, nil
+			return 0, nil
 		}
 		body, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		if err != nil {
-			return nil, nil
+			return 0, nil
 		}
 		if response.Header.Get(idHeader) == "a" {
-			return response, body
+			return response.StatusCode, body
 		}
 	}
 }
