--- a/io/link/link.go
+++ b/io/link/link.go
@@ -169,7 +169,8 @@
 }
 
 // retireDelay is how long the connection to a host that has left the membership, or to
-// an address that a host no longer has, stays open for its pending calls. A call that lasts longer fails.
+// an address that a host no longer has, stays open for its pending calls. A call that
+// lasts longer fails.
 const retireDelay = 30 * time.Second
 
 // DropUnknown forgets the hosts that are not among the records. A connection that
