Take not-run about a confirmed call only from its home's record

Cause: an entry that lost the connection to the home of a confirmed call asks again at the same address. The daemon that has the address then refuses a call for another host with not-run, which is true for a new call and says nothing about an earlier one. The entry took it as the home's word and moved the payment. Evidence: the entry logs "moved ... verdict=not-run reason=wrong-host" for each payment 3.5 s after the lost home began to run it. Ruled out: the home's check of the incarnation (not reached); a second or late confirmation (the lost home ran each payment once); io/peer and core/ticket, which already answer may-have-run for another host's ticket. Change: a home marks the result of an earlier call (earlier in the answer). An entry takes not-run for an answer to its question only with this mark, and a daemon that does not handle a question answers may-have-run.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -230,7 +230,9 @@
 	if refusal != nil {
 		return refusedAnswer(call, refusal)
 	}
-	return h.awaitExecution(ctx, execution)
+	answer := h.awaitExecution(ctx, execution)
+	answer.Earlier = true
+	return answer
 }
 
 // executionKey returns the key of a non-idempotent request in the ticket table, and
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -103,7 +103,9 @@
 		h, _ := newHome(t)
 		h.SetServing("till", teaseltack.Leaving)
 		assert.Equal(t, h.Serve(t.Context(), payment("n")).Refusal.Verdict, teaseltack.NotRun)
-		assert.Equal(t, h.Serve(t.Context(), again("n", incarnation)).Refusal.Verdict, teaseltack.NotRun)
+		answer := h.Serve(t.Context(), again("n", incarnation))
+		assert.Equal(t, answer.Refusal.Verdict, teaseltack.NotRun)
+		assert.Assert(t, answer.Earlier)
 	})
 	for name, call := range map[string]*teaseltack.Call{
 		"an unknown call":                  again("other", incarnation),
--- a/io/link/again.go
+++ b/io/link/again.go
@@ -22,7 +22,7 @@
 		if err == nil {
 			var answer *teaseltack.Answer
 			if answer, err = c.call(ctx, to.Host, &again); err == nil {
-				return answer, nil
+				return provenAnswer(answer), nil
 			}
 		}
 		l.pause(ctx, askPause)
@@ -30,6 +30,18 @@
 	return nil, lost
 }
 
+// provenAnswer returns an answer whose refusal says NotRun only if it is the result of the
+// earlier call. Any other refusal, such as that of another host which now has the address,
+// says only that the question was refused.
+func provenAnswer(answer *teaseltack.Answer) *teaseltack.Answer {
+	if answer.Refusal == nil || answer.Earlier {
+		return answer
+	}
+	proven := *answer
+	proven.Refusal = answer.Refusal.AsUncertain()
+	return &proven
+}
+
 // mayAnswer reports whether the daemon that was called may still run: its host is in the
 // membership at the same address and has not refused the last attempt to connect.
 func (l *Links) mayAnswer(to teaseltack.Record) bool {
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -386,7 +386,12 @@
 	}()
 }
 
+// refusedAnswer returns the answer to a request that this host does not handle. If the
+// request asks about an earlier call, this host does not know whether that call ran.
 func refusedAnswer(request *peerv1.ForwardRequest, refusal *teaseltack.Refusal) *teaseltack.Answer {
+	if request.Again {
+		refusal = refusal.AsUncertain()
+	}
 	return &teaseltack.Answer{
 		ID: teaseltack.RequestID(request.RequestId), Nonce: teaseltack.Nonce(request.Nonce), Refusal: refusal,
 		RetriesLeft: teaseltack.Retries(request.Retries),
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -246,6 +246,8 @@
 type relay struct {
 	listener net.Listener
 	dropping atomic.Bool
+	// target is the address that new connections lead to.
+	target atomic.Value
 	// ended gets a value for each connection whose one end was closed.
 	ended chan struct{}
 	mu    sync.Mutex
@@ -257,6 +259,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	r := &relay{listener: listener, ended: make(chan struct{}, 100)}
+	r.target.Store(to)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -264,7 +267,7 @@
 			if err != nil {
 				return
 			}
-			server, err := net.Dial("tcp", to)
+			server, err := net.Dial("tcp", r.target.Load().(string))
 			if err != nil {
 				return
 			}
@@ -484,6 +487,43 @@
 	}
 }
 
+// TestOnlyTheHomeSaysThatAConfirmedCallHasNotRun loses the connection while a confirmed
+// call runs and lets another host answer at the home's address, or the home itself. It
+// guards against a second run of a call whose home's address went to another host.
+func TestOnlyTheHomeSaysThatAConfirmedCallHasNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		host   string
+		answer *teaseltack.Answer
+		want   teaseltack.Verdict
+	}{
+		{"another host has the address", "c", nil, teaseltack.MayHaveRun},
+		{"a refusal that is not of the earlier call", "b", &teaseltack.Answer{Refusal: teaseltack.Refuse(teaseltack.ReasonLeaving, "leaving")}, teaseltack.MayHaveRun},
+		{"the refusal of the earlier call", "b", &teaseltack.Answer{Refusal: teaseltack.Refuse(teaseltack.ReasonLeaving, "leaving"), Earlier: true}, teaseltack.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, b, later := newNode(t, "a"), newNode(t, "b"), newNode(t, c.host)
+			r := newRelay(t, b.record.PeerAddress)
+			relayed := b.record
+			relayed.PeerAddress = r.listener.Addr().String()
+			b.serve = func(ctx context.Context, got *teaseltack.Call) *teaseltack.Answer {
+				assert.Check(t, got.Confirm(ctx))
+				r.target.Store(later.record.PeerAddress)
+				r.reset()
+				<-t.Context().Done()
+				return &teaseltack.Answer{}
+			}
+			later.serve = func(_ context.Context, got *teaseltack.Call) *teaseltack.Answer {
+				assert.Check(t, got.Again)
+				return c.answer
+			}
+			answer, err := a.links.Forward(t.Context(), relayed, call("x", true))
+			assert.NilError(t, err)
+			assert.Equal(t, answer.Refusal.Verdict, c.want, answer.Refusal.Detail)
+		})
+	}
+}
+
 // TestAGoneHomeIsNotAskedForLong guards against a caller that waits for its deadline
 // although no daemon listens at the home any more.
 func TestAGoneHomeIsNotAskedForLong(t *testing.T) {
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -94,6 +94,7 @@
 		Faulty:      a.Faulty,
 		WaitedUs:    a.Waited.Microseconds(),
 		Inner:       a.Load.ServersOnly,
+		Earlier:     a.Earlier,
 	}
 	if a.Refusal != nil {
 		m.Reason = string(a.Refusal.Reason)
@@ -124,6 +125,7 @@
 		Work:        time.Duration(m.WorkUs) * time.Microsecond,
 		Faulty:      m.Faulty,
 		Waited:      max(time.Duration(m.WaitedUs)*time.Microsecond, 0),
+		Earlier:     m.Earlier,
 	}
 	if m.Reason != "" {
 		a.Refusal = &teaseltack.Refusal{
--- a/message.go
+++ b/message.go
@@ -87,6 +87,9 @@
 	// Faulty is set when the server itself failed the call, rather than one of its
 	// nested calls.
 	Faulty bool
+	// Earlier is set in the answer to a call with Again if it is the result of the
+	// earlier call, rather than of the question itself.
+	Earlier bool
 }
 
 // Verdict returns whether the call may have run.
