Give a server work after a restart only with proof that it stays

Cause: the read of the tombstones had no time limit, so a lost response left it waiting for good; and after 1.5 s without tombstones the daemon took any heartbeat, also a late one, as that of a server that had never left. Evidence: in the daemon's log no line on tombstones follows the restart, while its lease, list and configuration calls end with deadlines and work again. Ruled out: the write (the store holds the record before the kill); born and seq (a restarted daemon has no earlier heartbeat to compare with); the other calls to the store, which have time limits. Change: each read ends after a second and is repeated. core/rejoin decides whether the server may get work: with the tombstones read, or if the server itself says that it stays in a status check, made once the store has had 1.5 s. Unreadable tombstones are no longer passed over either. Why it works: a late heartbeat proves nothing by itself; a left server fails its status check; a staying one passes it, so that a data centre without the store serves on. Before: TestALeftServerStaysOutWhileTheStoreIsSilent fails (ready, want absent).

--- a/io/side/server.go
+++ b/io/side/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"teaseltack"
@@ -78,37 +79,70 @@
 	}
 }
 
-// restoreTimeout bounds the time after the start in which the server gets no work
-// while the tombstones of an earlier process of this daemon have not been read. The
-// server gets no work before its first heartbeat either, which takes about as long.
-const restoreTimeout = 1500 * time.Millisecond
+const (
+	// askAfter is the time for which the store may return the tombstones before a
+	// restarted daemon asks its server. The server gets no work before its first
+	// heartbeat either, which takes about as long.
+	askAfter = 1500 * time.Millisecond
+	// askPeriod is the period of asking the server, and the longest wait for its answer.
+	askPeriod = 500 * time.Millisecond
+	// tombstoneReadTimeout bounds one read of the tombstones: a lost response never
+	// arrives, and a slow store responds within a third of this.
+	tombstoneReadTimeout = time.Second
+	// tombstoneRetryDelay is the delay after a failed read of the tombstones.
+	tombstoneRetryDelay = 500 * time.Millisecond
+)
 
-// restoreTombstones reads the tombstones that an earlier process of this daemon
-// stored, and retries until ctx ends.
+// restoreTombstones reads the tombstones that an earlier process of this daemon stored,
+// and retries until ctx ends. Until they are read it asks the server whether it stays.
 func (s *Sidecar) restoreTombstones(ctx context.Context) {
-	const pause = 500 * time.Millisecond
-	stop := s.timers.After(restoreTimeout, s.finishRestore)
+	stop := s.timers.Every(askPeriod, func() { s.askServer(ctx) })
 	defer stop()
 	for ctx.Err() == nil {
-		list, err := s.tombstones.Read(ctx)
+		err := s.readTombstones(ctx)
 		if err == nil {
-			s.tracker.Restore(list)
-			s.finishRestore()
+			s.rejoin.SetRestored()
+			s.applyServing()
 			return
 		}
 		if errors.Is(err, tomb.ErrUnreadable) {
-			s.log.Error("tombstones not read; a late heartbeat may register a server that left", "error", err)
-			s.finishRestore()
+			s.log.Error("tombstones unreadable; the server gets work only if its status check passes", "error", err)
+			<-ctx.Done()
 			return
 		}
 		s.log.Warn("tombstones not read, retrying", "error", err)
-		time.Sleep(pause)
+		time.Sleep(tombstoneRetryDelay)
 	}
 }
 
-// finishRestore lets the server get work, unless it is deregistered.
-func (s *Sidecar) finishRestore() {
-	s.tombstonesRead.Store(true)
+func (s *Sidecar) readTombstones(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tombstoneReadTimeout)
+	defer cancel()
+	list, err := s.tombstones.Read(ctx)
+	if err != nil {
+		return err
+	}
+	s.tracker.Restore(list)
+	return nil
+}
+
+// askServer makes a status check of the local backend server if only its own word can
+// show that it has not left.
+func (s *Sidecar) askServer(ctx context.Context) {
+	server := s.tracker.Server()
+	table := s.follower.Table()
+	if table == nil || !s.rejoin.ShouldAsk(server) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askPeriod)
+	defer cancel()
+	response, err := s.pool.Do(ctx, platform.StatusCheck(server.Instance, s.settings.ServerAddress, table.Config().Upstreams[s.service()].HealthPath))
+	if err != nil || response.Status != http.StatusOK {
+		s.log.Warn("server not confirmed while the tombstones are not read, it gets no work", "instance", server.Instance, "error", err)
+		return
+	}
+	s.log.Info("server confirmed by its status check while the tombstones are not read", "instance", server.Instance)
+	s.rejoin.Confirm(server)
 	s.applyServing()
 }
 
@@ -120,7 +154,7 @@
 	defer s.servingMu.Unlock()
 	server := s.tracker.Server()
 	serving := server.Serving
-	if !s.tombstonesRead.Load() && serving == teaseltack.Ready {
+	if serving == teaseltack.Ready && !s.rejoin.Admits(server) {
 		serving = teaseltack.Absent
 	}
 	s.home.SetServing(s.service(), s.acceptedAs(serving))
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -25,6 +25,7 @@
 	"teaseltack/core/nested"
 	"teaseltack/core/origin"
 	"teaseltack/core/picker"
+	"teaseltack/core/rejoin"
 	"teaseltack/core/roster"
 	"teaseltack/core/rules"
 	"teaseltack/core/scope"
@@ -111,6 +112,7 @@
 	tickets         *ticket.Table
 	tracker         *health.Tracker
 	tombstones      *tomb.Tombstones
+	rejoin          *rejoin.Guard
 	roster          *roster.Roster
 	follower        *follow.Follower
 	links           *link.Links
@@ -131,9 +133,6 @@
 	storeUnreachable atomic.Bool
 	// configuredAt is when the configuration came into force; nil while there is none.
 	configuredAt atomic.Pointer[time.Time]
-	// tombstonesRead is set when the tombstones have been read or restoreTimeout has
-	// passed.
-	tombstonesRead atomic.Bool
 	// servingMu serialises the updates of the server's state in the home and in the
 	// own record.
 	servingMu sync.Mutex
@@ -164,6 +163,7 @@
 	s.metrics = metric.New(s.gauges())
 	s.tracker = health.New(health.Config{Timeout: maxMissedHeartbeats * seconds(c.HeartbeatS)})
 	s.tombstones = tomb.New(tomb.Config{Store: store, Key: tombstonePrefix + c.Host})
+	s.rejoin = rejoin.New(rejoin.Config{Timers: s.timers, AskAfter: askAfter})
 	s.picker = picker.New(picker.Config{Timers: s.timers, Rand: source, DataCentre: teaseltack.DataCentre(c.DataCentre)})
 	s.levels = levels.New(levels.Config{Timers: s.timers})
 	s.gate = admit.New(admit.Config{Timers: s.timers, Slots: 1, Connections: 1, MaxWait: time.Duration(c.MaxWaitMs) * time.Millisecond, MaxNestedWait: maxNestedWait, MinShare: minShare})
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -178,6 +178,47 @@
 	tb.waitFor("the tombstones", func() bool { return left.serving(t) == "leaving" })
 }
 
+// TestALeftServerStaysOutWhileTheStoreIsSilent guards against a late heartbeat that
+// registers a deregistered server again at a daemon whose read of the tombstones got no
+// response, both while the store is silent and after it answers again.
+func TestALeftServerStaysOutWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	tb := twoServices(t)
+	left := tb.hosts[0]
+	assert.NilError(t, left.server.Deregister())
+	left.stop()
+	assert.NilError(t, <-left.done)
+	tb.store.SetSilent(tombstonePrefix)
+	tb.start(left)
+	for end := time.Now().Add(pastRestore); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		assert.NilError(t, left.server.Heartbeat())
+		assert.Equal(t, left.serving(t), "absent")
+	}
+	tb.store.SetSilent("")
+	tb.waitFor("the tombstones", func() bool { return left.serving(t) == "leaving" })
+}
+
+// TestAServerThatStaysGetsWorkWithoutItsTombstones guards against a restarted daemon that
+// waits for the store although its server says itself that it stays.
+func TestAServerThatStaysGetsWorkWithoutItsTombstones(t *testing.T) {
+	t.Parallel()
+	tb := twoServices(t)
+	restarted := tb.hosts[0]
+	restarted.stop()
+	assert.NilError(t, <-restarted.done)
+	tb.store.SetSilent(tombstonePrefix)
+	tb.start(restarted)
+	tb.waitFor("the server", func() bool { return restarted.serving(t) == "ready" })
+}
+
+const (
+	// tombstonePrefix is the key prefix of the tombstones in the store.
+	tombstonePrefix = "teaseltack/left/"
+	// pastRestore is longer than a restarted daemon waits for the tombstones before it
+	// asks its server, and than two periods of asking.
+	pastRestore = 3 * time.Second
+)
+
 // serving returns the state of the host's server according to its daemon.
 func (h *host) serving(t *testing.T) string {
 	t.Helper()
