Store the tombstone of a leaving once the store answers again

Cause: the tombstone was written once, within the 0.6 s that a confirmation may wait; a failure was only logged. The next process found none. Evidence: "tombstone not stored" in the log at the confirmation; the case shows that a second after the store's return it holds no record. Ruled out: the read after the restart (it succeeds, and finds nothing); holding back the confirmation (a server that gets none exits anyway). Change: core/tomb keeps what it could not store, and the daemon flushes it each 0.5 s until the store takes it, with 3 s for an attempt, also while it stops. Why it works: a store that is back, or slow, takes the record within a second; the revision condition keeps late executions of earlier attempts out. Before: TestALeavingIsStoredOnceTheStoreAnswers fails in both parts.

--- a/core/tomb/tomb.go
+++ b/core/tomb/tomb.go
@@ -41,6 +41,9 @@
 	mu         sync.Mutex
 	tombstones []health.Tombstone
 	revision   uint64
+	// added counts the tombstones that were added here, stored those of them that the
+	// store holds.
+	added, stored int
 }
 
 // New returns the tombstones of one host, not read yet. Read need not be called
@@ -96,24 +99,36 @@
 	}
 }
 
-// Write stores one more tombstone. If another process has written the key, it reads
-// the key and tries once more.
+// Write stores one more tombstone. After an error the tombstone is kept for Flush.
 func (s *Tombstones) Write(ctx context.Context, tombstone health.Tombstone) error {
-	err := s.write(ctx, tombstone)
+	s.mu.Lock()
+	s.add(tombstone)
+	s.added++
+	s.mu.Unlock()
+	return s.Flush(ctx)
+}
+
+// Flush stores the tombstones that an earlier Write could not store, if any. If another
+// process has written the key, it reads the key and tries once more.
+func (s *Tombstones) Flush(ctx context.Context) error {
+	err := s.flush(ctx)
 	if !errors.Is(err, teaseltack.ErrConflict) {
 		return err
 	}
 	if _, err := s.Read(ctx); err != nil && !errors.Is(err, ErrUnreadable) {
 		return err
 	}
-	return s.write(ctx, tombstone)
+	return s.flush(ctx)
 }
 
-func (s *Tombstones) write(ctx context.Context, tombstone health.Tombstone) error {
+func (s *Tombstones) flush(ctx context.Context) error {
 	s.mu.Lock()
-	s.add(tombstone)
+	added, revision := s.added, s.revision
+	if s.stored == added {
+		s.mu.Unlock()
+		return nil
+	}
 	value, err := json.Marshal(s.tombstones)
-	revision := s.revision
 	s.mu.Unlock()
 	if err != nil {
 		return fmt.Errorf("encoding the tombstones: %w", err)
@@ -128,6 +143,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision = revision
+	s.revision, s.stored = revision, max(s.stored, added)
 	return nil
 }
--- a/core/tomb/tomb_test.go
+++ b/core/tomb/tomb_test.go
@@ -79,6 +79,23 @@
 	assert.ErrorContains(t, err, "down")
 }
 
+// TestATombstoneThatWasNotStoredIsStoredLater guards against a leaving that was confirmed
+// while the store was unavailable and that the next process does not know.
+func TestATombstoneThatWasNotStoredIsStoredLater(t *testing.T) {
+	store := &fakeStore{err: errors.New("down")}
+	tombstones := tomb.New(tomb.Config{Store: store, Key: "left"})
+	assert.ErrorContains(t, tombstones.Write(t.Context(), first), "down")
+	assert.ErrorContains(t, tombstones.Flush(t.Context()), "down")
+	store.err = nil
+	assert.NilError(t, tombstones.Flush(t.Context()))
+	list, err := tomb.New(tomb.Config{Store: store, Key: "left"}).Read(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, list, []health.Tombstone{first})
+	revision := store.revision
+	assert.NilError(t, tombstones.Flush(t.Context()))
+	assert.Equal(t, store.revision, revision, "stored tombstones were written again")
+}
+
 func TestSpoiledBytesAreTold(t *testing.T) {
 	store := &fakeStore{value: []byte("{"), revision: 3}
 	_, err := tomb.New(tomb.Config{Store: store, Key: "left"}).Read(t.Context())
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -66,17 +66,54 @@
 	return nil
 }
 
-// tombstoneWriteTimeout bounds the time that the response to a deregistration waits
-// for the store. The home refuses new calls before the wait.
-const tombstoneWriteTimeout = 600 * time.Millisecond
+const (
+	// tombstoneWriteTimeout bounds the time that the response to a deregistration waits
+	// for the store. The home refuses new calls before the wait.
+	tombstoneWriteTimeout = 600 * time.Millisecond
+	// tombstoneFlushTimeout bounds a later attempt, which nothing waits for: four calls
+	// to a store that takes 0.7 s for each.
+	tombstoneFlushTimeout = 3 * time.Second
+)
 
-// writeTombstone stores the tombstone for the next process of this daemon.
+// writeTombstone stores the tombstone for the next process of this daemon. If this
+// fails, keepTombstones tries again.
 func (s *Sidecar) writeTombstone(tombstone health.Tombstone) {
 	ctx, cancel := context.WithTimeout(context.Background(), tombstoneWriteTimeout)
 	defer cancel()
-	if err := s.tombstones.Write(ctx, tombstone); err != nil {
-		s.log.Warn("tombstone not stored; after a restart of the daemon, a late heartbeat may register the server again", "instance", tombstone.Instance, "error", err)
+	err := s.tombstones.Write(ctx, tombstone)
+	if err == nil {
+		return
+	}
+	s.log.Warn("tombstone not stored, retrying; if the daemon is restarted before, a late heartbeat may register the server again", "instance", tombstone.Instance, "error", err)
+	select {
+	case s.tombstoneFailed <- struct{}{}:
+	default:
+	}
+}
+
+// keepTombstones stores the tombstones that writeTombstone could not store, until ctx
+// ends.
+func (s *Sidecar) keepTombstones(ctx context.Context) {
+	for {
+		select {
+		case <-s.tombstoneFailed:
+		case <-ctx.Done():
+			return
+		}
+		for s.flushTombstones(ctx) != nil && ctx.Err() == nil {
+			time.Sleep(tombstoneRetryDelay)
+		}
+	}
+}
+
+func (s *Sidecar) flushTombstones(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tombstoneFlushTimeout)
+	defer cancel()
+	if err := s.tombstones.Flush(ctx); err != nil {
+		return err
 	}
+	s.log.Info("tombstones stored")
+	return nil
 }
 
 const (
@@ -89,7 +126,8 @@
 	// tombstoneReadTimeout bounds one read of the tombstones: a lost response never
 	// arrives, and a slow store responds within a third of this.
 	tombstoneReadTimeout = time.Second
-	// tombstoneRetryDelay is the delay after a failed read of the tombstones.
+	// tombstoneRetryDelay is the delay after a failed read or a late write of the
+	// tombstones.
 	tombstoneRetryDelay = 500 * time.Millisecond
 )
 
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -133,6 +133,9 @@
 	storeUnreachable atomic.Bool
 	// configuredAt is when the configuration came into force; nil while there is none.
 	configuredAt atomic.Pointer[time.Time]
+	// tombstoneFailed holds a value if a tombstone could not be stored when the leaving
+	// was confirmed.
+	tombstoneFailed chan struct{}
 	// servingMu serialises the updates of the server's state in the home and in the
 	// own record.
 	servingMu sync.Mutex
@@ -141,7 +144,7 @@
 
 // New returns a daemon whose listeners are open; Run serves them.
 func New(settings *config.SidecarSettings, log hclog.Logger) (*Sidecar, error) {
-	s := &Sidecar{settings: settings, log: log, timers: clock.Clock{}}
+	s := &Sidecar{settings: settings, log: log, timers: clock.Clock{}, tombstoneFailed: make(chan struct{}, 1)}
 	s.current.Store(settings)
 	listeners, err := listenAll(settings)
 	if err != nil {
@@ -324,6 +327,9 @@
 	s.log.Info("started", "host", s.settings.Host, "service", s.settings.Service, "data-centre", s.settings.DataCentre)
 	go s.follower.Run()
 	go s.restoreTombstones(ctx)
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go s.keepTombstones(running)
 	go s.roster.Run()
 	go s.links.Serve(s.listeners.peers)
 	go func() { _ = s.metricsServer.Serve(s.listeners.metrics) }()
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -198,6 +198,27 @@
 	tb.waitFor("the tombstones", func() bool { return left.serving(t) == "leaving" })
 }
 
+// TestALeavingIsStoredOnceTheStoreAnswers guards against a deregistered server that gets
+// work again after a restart, because the store failed when its leaving was confirmed.
+func TestALeavingIsStoredOnceTheStoreAnswers(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]fake.Fault{"unavailable": fake.Unavailable, "disconnecting": fake.Disconnect} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tb := twoServices(t)
+			left := tb.hosts[0]
+			tb.store.SetFault(fault)
+			assert.NilError(t, left.server.Deregister())
+			tb.store.SetFault(fake.NoFault)
+			tb.waitFor("the tombstone", func() bool { return len(tb.store.Keys(tombstonePrefix)) == 1 })
+			left.stop()
+			assert.NilError(t, <-left.done)
+			tb.start(left)
+			tb.waitFor("the tombstone to be read", func() bool { return left.serving(t) == "leaving" })
+		})
+	}
+}
+
 // TestAServerThatStaysGetsWorkWithoutItsTombstones guards against a restarted daemon that
 // waits for the store although its server says itself that it stays.
 func TestAServerThatStaysGetsWorkWithoutItsTombstones(t *testing.T) {
