Skip records, announcements and tombstones with values out of range

Here a record with a port out of range was dialled for good and took a share of the calls; a heartbeat with a start in the far future made the server's own ones old, also the one that it leaves; an instance id with a line break went into a header of each request to the server; one odd tombstone hid the others. Cause: types were checked, ranges and forms were not. Ruled out: an end of the reader by deep nesting or numbers out of range (the decoder refuses both; tested with 100,000 levels).

--- a/core/roster/watch.go
+++ b/core/roster/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"teaseltack"
@@ -158,7 +159,7 @@
 		return false
 	}
 	if item.Removed {
-		host := teaseltack.HostID(item.Key[len(r.cfg.Prefix):])
+		host := teaseltack.HostID(strings.TrimPrefix(item.Key, r.cfg.Prefix))
 		if m := r.members[host]; m != nil && m.missingSince.IsZero() {
 			m.missingSince = now
 			r.cfg.Timers.After(missingTimeout+time.Millisecond, r.expireOnTimer)
--- a/core/roster/writer.go
+++ b/core/roster/writer.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
+	"net/netip"
 	"time"
 
 	"teaseltack"
@@ -205,15 +205,18 @@
 	}
 }
 
+// maxSlots is the largest number of slots that a record may have, as of a heartbeat.
+const maxSlots = 100_000
+
 // decodeRecord decodes a stored record. It returns false if the value is invalid,
 // for example because another writer corrupted it.
 func decodeRecord(key, prefix string, value []byte) (teaseltack.Record, bool) {
 	var e storedRecord
-	if err := json.Unmarshal(value, &e); err != nil || e.Host == "" || prefix+e.Host != key || e.Slots < 0 {
+	if err := json.Unmarshal(value, &e); err != nil || e.Host == "" || prefix+e.Host != key || e.Slots < 0 || e.Slots > maxSlots {
 		return teaseltack.Record{}, false
 	}
 	serving, known := servingNamed(e.Serving)
-	if _, port, err := net.SplitHostPort(e.PeerAddress); err != nil || port == "" || !known {
+	if !known || !canBeDialled(e.PeerAddress) {
 		return teaseltack.Record{}, false
 	}
 	record := teaseltack.Record{
@@ -227,6 +230,12 @@
 	return record, true
 }
 
+// canBeDialled reports whether the address is that of one host, as IP:port.
+func canBeDialled(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0 && !parsed.Addr().IsUnspecified()
+}
+
 // servingNamed returns the serving state with the name.
 func servingNamed(name string) (teaseltack.Serving, bool) {
 	for _, s := range []teaseltack.Serving{teaseltack.Absent, teaseltack.Ready, teaseltack.Leaving} {
--- a/core/tomb/tomb.go
+++ b/core/tomb/tomb.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -77,13 +76,29 @@
 	return list, nil
 }
 
-// decode decodes the stored form and leaves out tombstones that name no server.
+// decode decodes the stored form and leaves out entries that are no tombstones. It fails
+// if the value is no list, or has entries and none of them is a tombstone.
 func decode(value []byte) ([]health.Tombstone, error) {
-	var list []health.Tombstone
-	if err := json.Unmarshal(value, &list); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(value, &entries); err != nil {
 		return nil, err
 	}
-	return slices.DeleteFunc(list, func(t health.Tombstone) bool { return t.Instance == "" || t.BornMs < 0 }), nil
+	var list []health.Tombstone
+	var odd error
+	for _, entry := range entries {
+		var tombstone health.Tombstone
+		if err := json.Unmarshal(entry, &tombstone); err != nil {
+			odd = err
+			continue
+		}
+		if tombstone.Instance != "" && tombstone.BornMs >= 0 {
+			list = append(list, tombstone)
+		}
+	}
+	if len(list) == 0 && odd != nil {
+		return nil, odd
+	}
+	return list, nil
 }
 
 // add appends a tombstone unless it is known. s.mu must be held.
--- a/core/tomb/tomb_test.go
+++ b/core/tomb/tomb_test.go
@@ -121,6 +121,17 @@
 	}
 }
 
+// TestOneOddTombstoneDoesNotHideTheOthers guards against servers that left and are used
+// again since another program changed one entry of the list.
+func TestOneOddTombstoneDoesNotHideTheOthers(t *testing.T) {
+	for _, odd := range []string{`1`, `"x"`, `{"instance":5}`, `{"instance":"x","born-ms":1e400}`, `{"instance":"x","born-ms":-1}`, `[[[]]]`, `null`} {
+		store := &fakeStore{value: []byte(`[` + odd + `,{"instance":"a","born-ms":1}]`), revision: 5}
+		list, err := tomb.New(tomb.Config{Store: store, Key: "left"}).Read(t.Context())
+		assert.NilError(t, err, odd)
+		assert.DeepEqual(t, list, []health.Tombstone{first})
+	}
+}
+
 // FuzzRead reads arbitrary bytes as tombstones. Each one that is returned must name a
 // server, and a later write must be readable.
 func FuzzRead(f *testing.F) {
--- a/io/side/server.go
+++ b/io/side/server.go
@@ -32,6 +32,10 @@
 	return platform.ServerAnswer(response)
 }
 
+// maxClockStep is how far the time of day may have jumped back since a server started. A
+// later start is refused, since it would make the server's own heartbeats old ones.
+const maxClockStep = time.Minute
+
 // Heartbeat applies a heartbeat of the local backend server.
 func (s *Sidecar) Heartbeat(heartbeat health.Heartbeat) error {
 	if heartbeat.Service != s.service() {
@@ -40,7 +44,11 @@
 	if heartbeat.Address != s.settings.ServerAddress {
 		return fmt.Errorf("address in the heartbeat of %s is %q, allowed by the daemon's settings is %q", heartbeat.Instance, heartbeat.Address, s.settings.ServerAddress)
 	}
-	server, change := s.tracker.Observe(heartbeat, s.timers.Now())
+	now := s.timers.Now()
+	if latest := now.Add(maxClockStep).UnixMilli(); heartbeat.BornMs > latest {
+		return fmt.Errorf("born in the heartbeat of %s is %d, allowed is up to %d", heartbeat.Instance, heartbeat.BornMs, latest)
+	}
+	server, change := s.tracker.Observe(heartbeat, now)
 	if change == health.Unchanged {
 		return nil
 	}
--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -386,6 +386,54 @@
 	assert.Assert(t, tb.serves(h, "/read/x"))
 }
 
+// TestAnAnnouncementOfAnotherWriterReplacesNoServer guards against a heartbeat with the
+// server's own service and address but odd values: the server's later heartbeats would
+// count as old, or its requests would carry the odd name.
+func TestAnAnnouncementOfAnotherWriterReplacesNoServer(t *testing.T) {
+	t.Parallel()
+	tb := twoServices(t)
+	h := tb.hosts[0]
+	for name, c := range map[string]struct{ call, instance, born string }{
+		"start in the far future":       {"heartbeat", "i-other", "9e15"},
+		"name with a line break":        {"heartbeat", "i-other%0d%0aX-Odd:%201", "1"},
+		"name that is no header value":  {"heartbeat", "i-%01other", "1"},
+		"long name":                     {"heartbeat", strings.Repeat("i", 10_000), "1"},
+		"leaving name with line breaks": {"deregister", "i-other%0d%0aX-Odd:%201", "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := "http://" + h.side.Addresses().Announce + "/teaseltack/rpc?call=instances." + c.call + "&of=" + c.instance
+			body := fmt.Sprintf(`{"service":"orders","address":%q,"slots":4,"state":"ready","seq":1,"born":%s}`, h.server.Address(), c.born)
+			response, err := http.Post(target, "application/json", strings.NewReader(body))
+			assert.NilError(t, err)
+			response.Body.Close()
+			assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+		})
+	}
+	assert.NilError(t, h.server.Drain())
+	assert.Equal(t, h.serving(t), "leaving", "the server's own heartbeat was taken as old")
+}
+
+// TestOddEntriesAmongTheHostsAreSkipped guards against daemons that stop following the
+// membership after another program wrote to their prefix.
+func TestOddEntriesAmongTheHostsAreSkipped(t *testing.T) {
+	t.Parallel()
+	tb := twoServices(t)
+	const deep = 100_000
+	for name, value := range map[string]string{
+		"nested": strings.Repeat("[", deep) + strings.Repeat("]", deep),
+		"port":   `{"host":"port","incarnation":1,"version":1,"peer-address":"127.0.0.1:70000","service":"orders","slots":4,"serving":"ready"}`,
+		"number": `{"host":"number","incarnation":1e400,"version":1,"peer-address":"127.0.0.1:7","service":"orders","slots":4,"serving":"ready"}`,
+		"bytes":  "\xff\x00",
+		"":       "{}",
+	} {
+		tb.store.PutAsOperator("teaseltack/hosts/"+name, []byte(value))
+	}
+	tb.add("orders", fake.ServerConfig{Work: time.Millisecond})
+	for _, h := range tb.hosts {
+		tb.waitFor("the new host at "+h.name, func() bool { return h.knowsHosts(len(tb.hosts)) })
+	}
+}
+
 // TestAReloadNamesWhatNeedsARestart guards against settings that an operator changes and
 // believes to be in force.
 func TestAReloadNamesWhatNeedsARestart(t *testing.T) {
