Check by its work that a left server stays out, not by its state

Cause: in the test. It waited for the state leaving. A restarted daemon that reads the tombstones before the first heartbeat never takes the server in, so that its state stays absent, which is right as well. Change: the test sends late heartbeats and requests after the restart and checks that the server runs none, as TestARestartedDaemonDoesNotTakeALeftServerBackIn does; both share the assertion. This is stricter: before, no request was sent.

--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -151,13 +151,20 @@
 	tb.start(left)
 	tb.waitFor("readiness", left.ready)
 	assert.Equal(t, len(tb.store.Keys("teaseltack/left/")), 1)
+	tb.assertStaysOut(left)
+}
+
+// assertStaysOut checks that a deregistered server gets no work, though late heartbeats
+// arrive at its restarted daemon.
+func (tb *testbed) assertStaysOut(left *host) {
+	tb.t.Helper()
 	before := len(left.server.Runs())
 	for i := range 20 {
 		_ = left.server.Heartbeat()
 		got := tb.call(tb.hosts[i%len(tb.hosts)], http.MethodGet, "/read/x", "")
-		assert.Equal(t, got.status, http.StatusOK, got.body)
+		assert.Equal(tb.t, got.status, http.StatusOK, got.body)
 	}
-	assert.Equal(t, len(left.server.Runs()), before)
+	assert.Equal(tb.t, len(left.server.Runs()), before)
 }
 
 // TestAServerGetsNoWorkBeforeItsLeavingsAreRead guards against a late heartbeat that
@@ -214,7 +221,8 @@
 			left.stop()
 			assert.NilError(t, <-left.done)
 			tb.start(left)
-			tb.waitFor("the tombstone to be read", func() bool { return left.serving(t) == "leaving" })
+			tb.waitFor("readiness", left.ready)
+			tb.assertStaysOut(left)
 		})
 	}
 }
