Write answers without holding the lock of the connection

Cause: conn.flush wrote with conn.mu held, for up to 10 s. Server.Pending, which the first log line of the shutdown calls, takes that lock with Server.mu held, which each accepted connection needs. Ruled out: the signal handling and the readiness listener (both go on once the write ends). Change: one goroutine at a time writes, without the lock; requests stay pending until their answers are written; 64 KiB at a time, each with the full timeout. 100 Continue waits for the answers before it, which the lock did not ensure. Why it works: nothing holds a lock over a write to a caller any more. Before: TestASlowReaderHoldsUpOnlyItsOwnConnection, TestASlowReaderGetsItsWholeAnswer and TestAnExpectedBodyIsAskedForAfterTheEarlierAnswers fail.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -20,11 +20,15 @@
 	maxPipelined = 64
 	// writeTimeout bounds one write, since a caller may have stopped reading.
 	writeTimeout = 10 * time.Second
+	// maxWrite is the largest part of an answer in bytes that is written at once, so that
+	// a caller that reads slowly gets writeTimeout for each part.
+	maxWrite = 64 << 10
 )
 
 // conn is one connection. The goroutine in serve reads requests and starts a
 // goroutine for each. The goroutine that completes the oldest pending request writes
-// its answer and the completed ones that follow.
+// its answer and the completed ones that follow, without holding mu: a caller may read
+// slowly.
 type conn struct {
 	server *Server
 	nc     net.Conn
@@ -33,9 +37,15 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// pending holds the unanswered requests in order of arrival.
+	// pending holds the requests without a complete answer in order of arrival. Those
+	// whose answers are being written are still among them.
 	pending        []*pendingRequest
 	pendingChanged *sync.Cond
+	// writing is set while a goroutine writes answers.
+	writing bool
+	// ended is set once the last answer is being written; requests read later are not
+	// handled.
+	ended bool
 	// lingering is set once nothing more is sent: the write side is closed, and what the
 	// caller still sends is discarded until it closes its side.
 	lingering bool
@@ -96,10 +106,14 @@
 	defer c.close()
 	for {
 		request, closing, err := c.read()
-		if err != nil {
-			c.respondMalformed(err)
+		var malformed *malformedError
+		if errors.As(err, &malformed) {
+			c.refuse(malformed)
 			break
 		}
+		if err != nil {
+			return
+		}
 		p := &pendingRequest{request: request, close: closing, isHead: request.Method == "HEAD"}
 		if !c.enqueue(p) {
 			break
@@ -120,8 +134,9 @@
 }
 
 // awaitClose discards what the caller sends until the caller closes the connection
-// or the read deadline passes.
+// or has lingered for too long.
 func (c *conn) awaitClose() {
+	c.setReadDeadline(time.Time{})
 	for {
 		_, err := c.reader.Peek(1)
 		if err != nil {
@@ -141,14 +156,15 @@
 	for len(c.pending) >= maxPipelined && !c.closed {
 		c.pendingChanged.Wait()
 	}
-	if c.closed || c.lingering {
+	if c.closed || c.ended {
 		return false
 	}
 	c.pending = append(c.pending, p)
 	return true
 }
 
-// awaitTurn waits until the requests before p are answered.
+// awaitTurn waits until the requests before p are answered; nil stands for the next
+// request to be read.
 func (c *conn) awaitTurn(p *pendingRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,49 +182,76 @@
 	defer c.mu.Unlock()
 	p.response = &response
 	p.request = nil
-	if len(c.pending) > 0 && c.pending[0] == p {
-		c.flush()
-	}
+	c.flush()
 }
 
-// flush writes the answers of the completed requests at the head of pending. The
-// caller holds c.mu, which keeps the answers in order.
+// flush writes the answers of the completed requests at the head of pending, unless
+// another goroutine is writing; that one then writes these as well. The caller holds
+// c.mu, which flush releases while it writes.
 func (c *conn) flush() {
+	for !c.writing && !c.ended && !c.closed {
+		answers, count, last := c.nextAnswers()
+		if count == 0 {
+			return
+		}
+		c.writing, c.ended = true, last
+		c.mu.Unlock()
+		err := c.write(answers)
+		c.mu.Lock()
+		c.writing = false
+		c.pending = c.pending[count:]
+		c.afterWrite(last, err)
+		c.pendingChanged.Broadcast()
+	}
+}
+
+// nextAnswers encodes the answers of the completed requests at the head of pending and
+// returns the number of these requests. last is set if the connection ends after them.
+// The caller holds c.mu.
+func (c *conn) nextAnswers() (answers []byte, count int, last bool) {
 	var out bytes.Buffer
-	last := false
-	for !last && len(c.pending) > 0 && c.pending[0].response != nil && !c.closed {
-		p := c.pending[0]
+	for !last && count < len(c.pending) && c.pending[count].response != nil {
+		p := c.pending[count]
+		count++
 		if p.response.Status == 0 {
-			c.pending = nil
-			c.cancel()
-			last = true
-			break
+			return out.Bytes(), count, true
 		}
-		last = p.close || c.server.closing.Load() && len(c.pending) == 1
+		last = p.close || c.server.closing.Load() && count == len(c.pending)
 		appendResponse(&out, p, last)
-		c.pending = c.pending[1:]
 	}
-	c.writeOut(&out)
+	return out.Bytes(), count, last
+}
+
+// afterWrite ends the connection after the last answer or an error. The caller holds
+// c.mu.
+func (c *conn) afterWrite(last bool, err error) {
 	switch {
-	case c.closed:
+	case err != nil:
+		c.closed = true
+		c.cancel()
+		_ = c.nc.Close()
 	case last:
+		if len(c.pending) > 0 {
+			c.pending = nil
+			c.cancel()
+		}
 		c.linger()
 	case len(c.pending) == 0:
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
 	}
-	c.pendingChanged.Broadcast()
 }
 
-func (c *conn) writeOut(out *bytes.Buffer) {
-	if out.Len() == 0 || c.closed {
-		return
-	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.nc.Write(out.Bytes()); err != nil {
-		c.closed = true
-		_ = c.nc.Close()
+// write writes the answers in parts of up to maxWrite bytes.
+func (c *conn) write(answers []byte) error {
+	for len(answers) > 0 {
+		part := answers[:min(len(answers), maxWrite)]
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.nc.Write(part); err != nil {
+			return err
+		}
+		answers = answers[len(part):]
 	}
-	out.Reset()
+	return nil
 }
 
 // lingerTimeout bounds the time for which a connection lingers. A caller may take as long
@@ -223,7 +266,7 @@
 	if c.lingering || c.closed {
 		return
 	}
-	c.lingering = true
+	c.ended, c.lingering = true, true
 	if halfCloser, ok := c.nc.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
@@ -239,21 +282,15 @@
 	}
 }
 
-// respondMalformed answers a malformed request after the pending ones and closes the
-// connection. It does nothing for other read errors, such as a closed connection.
-func (c *conn) respondMalformed(err error) {
-	var malformed *malformedError
-	if !errors.As(err, &malformed) {
-		return
-	}
+// refuse answers a malformed request after the pending ones and ends the connection.
+func (c *conn) refuse(malformed *malformedError) {
 	if c.server.cfg.OnMalformed != nil {
-		c.server.cfg.OnMalformed(err)
+		c.server.cfg.OnMalformed(malformed)
 	}
 	p := &pendingRequest{close: true, response: &Response{Status: malformed.status, Body: []byte(malformed.text + "\n")}}
 	if !c.enqueue(p) {
 		return
 	}
-	c.awaitTurn(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.flush()
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -130,9 +130,9 @@
 		return request, nil
 	}
 	if parsed.Header.Get("Expect") != "" {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, err
-		}
+		c.awaitTurn(nil)
+		// After an error the caller sends no body, so that reading it fails.
+		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	c.setReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := readLimited(parsed.Body, parsed.ContentLength, limits.BodyBytes)
