Hand the scripted answer to the server of the body test by channel

Ruled out: a race in the pool (the detector names only the test's variables). Change: each case is one value on a channel; the checks are the same. Before: go test -race reports the race.

--- a/io/pool/body_test.go
+++ b/io/pool/body_test.go
@@ -18,26 +18,32 @@
 // Guards against an answer that was cut off and passed on as complete.
 func TestABodyIsWholeOrTheAnswerIsRefused(t *testing.T) {
 	const maxBody = 700_000
-	var answer []byte
-	var whole bool
+	type script struct {
+		answer []byte
+		whole  bool
+	}
+	scripts := make(chan script, 1)
 	s := newServer(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, err := conn.Write(answer)
-		return whole && err == nil
+		next := <-scripts
+		_, err := conn.Write(next.answer)
+		return next.whole && err == nil
 	})
 	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: maxBody, MaxReadingBytes: 2 * maxBody})
 	p.SetAddress(s.listener.Addr().String())
 	rapid.Check(t, func(t *rapid.T) {
 		body := bytes.Repeat([]byte("0123456789abcdef!"), rapid.IntRange(0, maxBody/17).Draw(t, "repeats"))
+		var answer []byte
 		head := "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\n"
 		if rapid.Bool().Draw(t, "chunked") {
 			answer = append([]byte(head+"Transfer-Encoding: chunked\r\n\r\n"), chunked(t, body)...)
 		} else {
 			answer = append([]byte(fmt.Sprintf("%sContent-Length: %d\r\n\r\n", head, len(body))), body...)
 		}
-		whole = rapid.Bool().Draw(t, "whole")
+		whole := rapid.Bool().Draw(t, "whole")
 		if !whole {
 			answer = answer[:rapid.IntRange(0, len(answer)-1).Draw(t, "cut at")]
 		}
+		scripts <- script{answer, whole}
 		response, err := p.Do(t.Context(), request("a", false))
 		if !whole {
 			refusal := teaseltack.AsRefusal(err)
