Take the ports of the soak's backend servers below the outgoing range

A host's first backend server took a port of the system's choice; its successor listens at the same address, and an outgoing connection can take the port in between. 43107 is in the range of outgoing connections (32768 to 60999); a listener at the local port of an open outgoing connection fails with the same error (run by hand). Ruled out: a daemon's fault (it takes no part in the listening); two listeners on one port (the range of freePort ends at 30000). Change: the backend servers' ports come from freePort like all others; the seed is kept as a regression case.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -39,6 +39,7 @@
 	{6, "test fault: a daemon was assigned a port that an outgoing connection already used"},
 	{17, "test fault: one port was assigned to two listeners"},
 	{20261311, "a watch reported that leases had ended and fell silent; the hosts, which were back, were taken as gone for up to 19 s"},
+	{20261221, "test fault: a backend server's successor was assigned a port that an outgoing connection already used"},
 	{48, "a stopping daemon cut a request that arrived between its last check for requests and the close of the connection"},
 }
 
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -139,7 +139,7 @@
 	peer := freePort(t)
 	h.peerProxy = newProxy(t, fmt.Sprintf("127.0.0.1:%d", peer))
 	h.storeProxy = newProxy(t, strings.TrimPrefix(f.http.URL, "http://"))
-	f.startServer(h, "127.0.0.1:0")
+	f.startServer(h, fmt.Sprintf("127.0.0.1:%d", freePort(t)))
 	h.settings = filepath.Join(f.dir, h.name+".hujson")
 	text := fmt.Sprintf(`{"host": %q, "data-centre": "dc-%d", "region": "r", "ip": "127.0.0.1", "service": %q,
 "outer-address": %q, "ready-address": "127.0.0.1:%d", "announce-address": %q, "server-address": %q,
