--- a/io/side/server.go
+++ b/io/side/server.go
@@ -100,7 +100,8 @@
 }
 
 // keepTombstones stores the tombstones that writeTombstone could not store, until ctx
-// ends.
+// ends. Only the first failure is logged, by writeTombstone; a store that stays away is
+// logged by the other calls to it.
 func (s *Sidecar) keepTombstones(ctx context.Context) {
 	for {
 		select {
