--- a/io/side/side_test.go
+++ b/io/side/side_test.go
@@ -145,15 +145,21 @@
 	t.Parallel()
 	tb := twoServices(t)
 	left := tb.hosts[0]
-	assert.NilError(t, left.server.Deregister())
-	left.stop()
-	assert.NilError(t, <-left.done)
+	left.leaveAndStop(t)
 	tb.start(left)
 	tb.waitFor("readiness", left.ready)
 	assert.Equal(t, len(tb.store.Keys("teaseltack/left/")), 1)
 	tb.assertStaysOut(left)
 }
 
+// leaveAndStop deregisters the host's server and then stops its daemon.
+func (h *host) leaveAndStop(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, h.server.Deregister())
+	h.stop()
+	assert.NilError(t, <-h.done)
+}
+
 // assertStaysOut checks that a deregistered server gets no work, though late heartbeats
 // arrive at its restarted daemon.
 func (tb *testbed) assertStaysOut(left *host) {
@@ -174,9 +180,7 @@
 	t.Parallel()
 	tb := twoServices(t)
 	left := tb.hosts[0]
-	assert.NilError(t, left.server.Deregister())
-	left.stop()
-	assert.NilError(t, <-left.done)
+	left.leaveAndStop(t)
 	tb.store.SetFault(fake.Disconnect)
 	tb.start(left)
 	assert.NilError(t, left.server.Heartbeat())
@@ -192,9 +196,7 @@
 	t.Parallel()
 	tb := twoServices(t)
 	left := tb.hosts[0]
-	assert.NilError(t, left.server.Deregister())
-	left.stop()
-	assert.NilError(t, <-left.done)
+	left.leaveAndStop(t)
 	tb.store.SetSilent(tombstonePrefix)
 	tb.start(left)
 	for end := time.Now().Add(pastRestore); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
