Refuse answers without a length whose connection was reset

Callers of daemons on the platform got a part of an answer as the whole: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written.

Cause: a body without a length ends with the connection. The pool writes a long request on a goroutine of its own while it reads the answer, and the kernel reports a reset once, to the first of the two that asks. If the write got the report, the read returned io.EOF, and nothing looked at the result of the write.

Why it works: before such an answer is taken, the write is ended and its result is read. Either the write got the report, and the answer is refused with may-have-run, or it did not, and then the read would have got it.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -36,6 +36,8 @@
 	maxLate     = 12 * time.Millisecond
 	waitTimeout = 30 * time.Second
 	lifetime    = 100 * time.Millisecond
+	// maxBody bounds the bodies of requests and answers in bytes.
+	maxBody = 8 << 20
 )
 
 // numbers numbers the requests of all tests.
@@ -103,8 +105,8 @@
 
 func standAlone(t *testing.T, named bool) *path {
 	t.Helper()
-	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": "h", "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": 5}`,
-		anyAddress, anyAddress, anyAddress, anyAddress))
+	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": "h", "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": 5, "max-body-bytes": %d}`,
+		anyAddress, anyAddress, anyAddress, anyAddress, maxBody))
 	assert.NilError(t, err)
 	d, err := daemon.New(settings, hclog.NewNullLogger())
 	assert.NilError(t, err)
@@ -129,13 +131,13 @@
 		OuterAddress: anyAddress, ReadyAddress: anyAddress, AnnounceAddress: anyAddress,
 		ServerAddress: s.listener.Addr().String(), PlatformAddress: strings.TrimPrefix(storeServer.URL, "http://"),
 		MemoryMB: 200, HeartbeatS: 5, GraceS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 48,
-		MaxWaitMs: 100, MaxBodyBytes: 1 << 20, MaxRemembered: 1000, LogLevel: "info",
+		MaxWaitMs: 100, MaxBodyBytes: maxBody, MaxRemembered: 1000, LogLevel: "info",
 	}, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	stop := run(t, d.Run)
-	store.PutAsOperator(platform.ConfigKey, []byte(`{"version":"00000001","limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},
+	store.PutAsOperator(platform.ConfigKey, fmt.Appendf(nil, `{"version":"00000001","limits":{"max_header_bytes":4096,"max_body_bytes":%d,"header_timeout_s":3,"idle_timeout_s":15},
 		"listeners":[{"host":"a.example","rules":[{"name":"r","kind":"idempotent","target_latency_s":1,"priority":0,"match":{"prefix":"/shop/"},"action":{"service":"shop","timeout_s":5,"max_attempts":2}}]}],
-		"clusters":[{"name":"shop","health_path":"/health","max_conns":100}]}`))
+		"clusters":[{"name":"shop","health_path":"/health","max_conns":100}]}`, maxBody))
 	announce(t, "http://"+d.Addresses().Announce+"/teaseltack/rpc?call=instances.heartbeat&of=i", map[string]any{
 		"service": "shop", "address": s.listener.Addr().String(), "zone": "a", "version": "v", "slots": slots, "state": "ready", "cold_left_s": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
--- a/e2e/answers/server_test.go
+++ b/e2e/answers/server_test.go
@@ -46,15 +46,20 @@
 	mu      sync.Mutex
 	faults  map[string]fault
 	delays  map[string]time.Duration
+	scripts map[string]script
 	earlier []byte
 	runs    map[string]int
 }
 
+// script answers one request, of which the head and the start of the body have been read.
+// The connection is closed after it.
+type script func(conn *net.TCPConn, r *http.Request)
+
 func startServer(t *testing.T, named bool) *server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &server{listener: listener, named: named, faults: map[string]fault{}, delays: map[string]time.Duration{}, runs: map[string]int{}}
+	s := &server{listener: listener, named: named, faults: map[string]fault{}, delays: map[string]time.Duration{}, scripts: map[string]script{}, runs: map[string]int{}}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -75,6 +80,24 @@
 	s.faults[number], s.delays[number] = f, delay
 }
 
+// setScript lets the script answer the request with the number.
+func (s *server) setScript(number string, answer script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scripts[number] = answer
+}
+
+// scripted reports whether a script has answered the request.
+func (s *server) scripted(conn net.Conn, r *http.Request) bool {
+	s.mu.Lock()
+	answer := s.scripts[r.Header.Get(testHeader)]
+	s.mu.Unlock()
+	if answer != nil {
+		answer(conn.(*net.TCPConn), r)
+	}
+	return answer != nil
+}
+
 func (s *server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	var writing sync.Mutex
@@ -87,7 +110,7 @@
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
-		if err != nil || !s.answer(r, write) {
+		if err != nil || s.scripted(conn, r) || !s.answer(r, write) {
 			return
 		}
 	}
@@ -118,12 +141,21 @@
 }
 
 func (s *server) text(r *http.Request, number string) []byte {
-	head := "HTTP/1.1 200 OK\r\nX-Teaseltack-Server-Stamp: stamp\r\n"
+	fields := "X-Teaseltack-Server-Stamp: stamp\r\n"
+	if s.named {
+		fields = ownFields(r)
+	}
+	body := "answer to " + number
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+}
+
+// ownFields returns the header fields that make an answer the request's own.
+func ownFields(r *http.Request) string {
+	fields := "X-Teaseltack-Server-Stamp: stamp\r\n"
 	for _, name := range idHeaders {
-		if id := r.Header.Get(name); s.named && id != "" {
-			head += name + ": " + id + "\r\n"
+		if id := r.Header.Get(name); id != "" {
+			fields += name + ": " + id + "\r\n"
 		}
 	}
-	body := "answer to " + number
-	return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	return fields
 }
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -108,6 +109,9 @@
 			return nil, false, teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the response is not an answer of the backend server to this request")
 		}
 		response, keepOpen, err := c.receiveBody(httpResponse)
+		if err == nil && !response.Delimited {
+			err = c.stopSending(sent)
+		}
 		var oversized *oversizedError
 		if errors.As(err, &oversized) && match != Foreign {
 			return nil, false, &teaseltack.Refusal{Verdict: r.OversizedVerdict, Reason: teaseltack.ReasonTooLarge, Detail: err.Error()}
@@ -167,6 +171,21 @@
 	}
 }
 
+// stopSending ends the write of the request and returns the error with which the
+// connection failed it. The kernel reports a reset once: if the write got the report, the
+// reads return io.EOF, as they do after the last byte of a connection that was not reset.
+func (c *conn) stopSending(sent <-chan error) error {
+	if sent == nil {
+		return nil
+	}
+	_ = c.nc.SetWriteDeadline(time.Unix(1, 0))
+	err := <-sent
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
 // receiveHead reads the head of the next answer.
 func (c *conn) receiveHead(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
