Refuse answers without a status of HTTP

A server in trouble answered with status 000. On the platform and in the stand-alone daemon the caller's connection ended without an answer; statuses from 001 to 099 reached the platform's callers with one or two digits, and 600 to 999, or an answer with version 0.9 or 2.0, reached callers as it was.

Cause: the standard library's parser takes any number of three characters for a status, also "+20" and "-00", and any version; the pool returned whatever was not informational.

Already held: numbers of other lengths, letters, no status, another protocol, and 101 without anything after it were refused by the parser or as an answer cut off.

Ruled out: passing 600 to 999 on. RFC 9110 calls them invalid and asks to handle them as a server's error, which a 502 says without a promise.

Why it works: the check stands where the head is read, before the status decides whether the head is informational.

--- a/e2e/answers/head_test.go
+++ b/e2e/answers/head_test.go
@@ -81,3 +81,29 @@
 func TestAnAnswerWithAMalformedHeadIsRefused(t *testing.T) {
 	checkRefused(t, malformedHeads)
 }
+
+// oddStatuses are the heads of answers whose first line is not that of an answer.
+var oddStatuses = map[string]string{
+	"status 000":      "HTTP/1.1 000 Zero\r\n%sContent-Length: 4\r\n\r\n",
+	"status 001":      "HTTP/1.1 001 One\r\n%sContent-Length: 4\r\n\r\n",
+	"status 099":      "HTTP/1.1 099 Low\r\n%sContent-Length: 4\r\n\r\n",
+	"status 600":      "HTTP/1.1 600 High\r\n%sContent-Length: 4\r\n\r\n",
+	"status 999":      "HTTP/1.1 999 High\r\n%sContent-Length: 4\r\n\r\n",
+	"status 20":       "HTTP/1.1 20 Short\r\n%sContent-Length: 4\r\n\r\n",
+	"status 2000":     "HTTP/1.1 2000 Long\r\n%sContent-Length: 4\r\n\r\n",
+	"status +20":      "HTTP/1.1 +20 Signed\r\n%sContent-Length: 4\r\n\r\n",
+	"status -00":      "HTTP/1.1 -00 Signed\r\n%sContent-Length: 4\r\n\r\n",
+	"status 2x0":      "HTTP/1.1 2x0 Letter\r\n%sContent-Length: 4\r\n\r\n",
+	"no status":       "HTTP/1.1\r\n%sContent-Length: 4\r\n\r\n",
+	"status 101 only": "HTTP/1.1 101 Switching Protocols\r\n%s\r\n",
+	"version 0.9":     "HTTP/0.9 200 OK\r\n%sContent-Length: 4\r\n\r\n",
+	"version 2.0":     "HTTP/2.0 200 OK\r\n%sContent-Length: 4\r\n\r\n",
+	"other protocol":  "ICY 200 OK\r\n%sContent-Length: 4\r\n\r\n",
+	"000 after 103":   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\n%sContent-Length: 4\r\n\r\n",
+}
+
+// Guards against an answer with a status that is none, which a caller gets as it is or
+// which ends the caller's connection without an answer.
+func TestAnAnswerWithoutAStatusIsRefused(t *testing.T) {
+	checkRefused(t, oddStatuses)
+}
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -199,13 +199,28 @@
 		if err != nil {
 			return nil, err
 		}
-		if httpResponse.StatusCode < 100 || httpResponse.StatusCode >= 200 {
+		if err := checkStatus(httpResponse); err != nil {
+			return nil, err
+		}
+		if httpResponse.StatusCode >= http.StatusOK {
 			return httpResponse, nil
 		}
 	}
 	return nil, errors.New("the backend server sent only informational answers")
 }
 
+// maxStatus is the highest status of an answer.
+const maxStatus = 599
+
+// checkStatus refuses an answer of another protocol or with a number that is no status.
+// The parser accepts any number of three characters.
+func checkStatus(r *http.Response) error {
+	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus {
+		return teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the answer has the version %s and the status %d, which is no answer in HTTP/1", r.Proto, r.StatusCode)
+	}
+	return nil
+}
+
 // receiveBody reads the rest of an answer and reports whether the server keeps the
 // connection open.
 func (c *conn) receiveBody(httpResponse *http.Response) (*Response, bool, error) {
--- a/io/pool/fuzz_test.go
+++ b/io/pool/fuzz_test.go
@@ -18,13 +18,14 @@
 
 // FuzzAnswer lets a server answer with arbitrary bytes and then close the connection. A
 // result must be what the standard library reads from the same bytes as the request's
-// own answer, with header fields only, and any other outcome may have run.
+// own answer, with a status and header fields only, and any other outcome may have run.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(completeAnswer("a", "own")))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + completeAnswer("b", "old") + completeAnswer("a", "own")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nT: 1\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\n" + idHeader + ": a\n\nto the end"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nContent-Length : 4\r\nX Odd: 1\r\n\r\ndone"))
+	f.Add([]byte("HTTP/1.1 000 Zero\r\n" + idHeader + ": a\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\n" + idHeader + ": a\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -53,6 +54,9 @@
 		if response.Status != status || !bytes.Equal(response.Body, body) {
 			t.Fatalf("%q gave %d %q", sent, response.Status, response.Body)
 		}
+		if status < http.StatusOK || status > 599 {
+			t.Fatalf("%q gave the status %d", sent, status)
+		}
 		for name := range response.Header {
 			if !httpguts.ValidHeaderFieldName(name) {
 				t.Fatalf("%q gave the header field %q", sent, name)
