Refuse broken answers that another daemon passes on

An entry passed on to its caller whatever another daemon sent as the answer of a backend server: a status of 0 (the caller's connection ended without an answer), 101 or 600, names of header fields with blanks or control bytes, values with line feeds (which split the answer) or control bytes.

Cause: the decoder of the peer protocol checked calls but not answers, and relied on the home.

Ruled out: a check in the writers to callers. There are two of them, they know no verdict, and what the entry learns from an answer would be wrong.

Why it works: both kinds of daemon decode answers by wire.Codec, which gives a refusal with may-have-run in place of such an answer.

--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -27,10 +27,16 @@
 type fakeHome struct {
 	peerv1connect.UnimplementedPeerServiceHandler
 	calls atomic.Int32
+	// answer is returned, with the ids of the call, in place of a complete answer.
+	answer *peerv1.ForwardResponse
 }
 
 func (h *fakeHome) Forward(_ context.Context, r *connect.Request[peerv1.ForwardRequest]) (*connect.Response[peerv1.ForwardResponse], error) {
 	h.calls.Add(1)
+	if h.answer != nil {
+		h.answer.RequestId, h.answer.Nonce = r.Msg.RequestId, r.Msg.Nonce
+		return connect.NewResponse(h.answer), nil
+	}
 	return connect.NewResponse(&peerv1.ForwardResponse{RequestId: r.Msg.RequestId, Nonce: r.Msg.Nonce, Status: 200, Body: r.Msg.Body}), nil
 }
 
@@ -222,3 +228,43 @@
 		})
 	}
 }
+
+// Guards against a broken answer that another daemon, such as one of an earlier version,
+// passes on, and against a part of an answer that is taken as the whole.
+func TestABrokenAnswerOfAnotherDaemonMayHaveRun(t *testing.T) {
+	header := func(name, value string) *peerv1.ForwardResponse {
+		return &peerv1.ForwardResponse{Status: 200, Headers: []*peerv1.Header{{Name: name, Value: value}}}
+	}
+	for name, broken := range map[string]*peerv1.ForwardResponse{
+		"status 0":                 {},
+		"status 101":               {Status: 101},
+		"status 600":               {Status: 600},
+		"a blank in a name":        header("X Odd", "1"),
+		"a control byte in a name": header("X\x01Odd", "1"),
+		"a line feed in a value":   header("X-Odd", "1\nX-Even: 2"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, address := startHome(t, "")
+			h.answer = broken
+			answer, err := newClient("").Forward(t.Context(), teaseltack.Record{Host: "h", PeerAddress: address}, &teaseltack.Call{ID: "a", Nonce: "n", Deadline: time.Now().Add(5 * time.Second)})
+			assert.NilError(t, err)
+			assert.Assert(t, answer.Refusal != nil, "status %d, headers %v", answer.Status, answer.Headers)
+			assert.Equal(t, answer.Refusal.Verdict, teaseltack.MayHaveRun)
+			assert.Equal(t, answer.Refusal.Reason, teaseltack.ReasonAnswerMismatch)
+		})
+	}
+	t.Run("a reset", func(t *testing.T) {
+		server, err := httpd.Listen(httpd.Config{Name: "peer listener", Address: "127.0.0.1:0"})
+		assert.NilError(t, err)
+		server.Handle(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/proto")
+			// Field 1 with the text "a": a message of its own.
+			_, _ = w.Write([]byte("\x0a\x01a"))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}))
+		go func() { _ = server.Serve() }()
+		err = forward(newClient(""), server.Address(), 5*time.Second)
+		assert.Equal(t, teaseltack.AsRefusal(err).Verdict, teaseltack.MayHaveRun, "%v", err)
+	})
+}
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -202,20 +202,17 @@
 		if err := checkStatus(httpResponse); err != nil {
 			return nil, err
 		}
-		if httpResponse.StatusCode >= http.StatusOK {
+		if httpResponse.StatusCode >= teaseltack.MinStatus {
 			return httpResponse, nil
 		}
 	}
 	return nil, errors.New("the backend server sent only informational answers")
 }
 
-// maxStatus is the highest status of an answer.
-const maxStatus = 599
-
 // checkStatus refuses an answer of another protocol or with a number that is no status.
 // The parser accepts any number of three characters.
 func checkStatus(r *http.Response) error {
-	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus {
+	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > teaseltack.MaxStatus {
 		return teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the answer has the version %s and the status %d, which is no answer in HTTP/1", r.Proto, r.StatusCode)
 	}
 	return nil
--- a/io/pool/fuzz_test.go
+++ b/io/pool/fuzz_test.go
@@ -54,7 +54,7 @@
 		if response.Status != status || !bytes.Equal(response.Body, body) {
 			t.Fatalf("%q gave %d %q", sent, response.Status, response.Body)
 		}
-		if status < http.StatusOK || status > 599 {
+		if status < teaseltack.MinStatus || status > teaseltack.MaxStatus {
 			t.Fatalf("%q gave the status %d", sent, status)
 		}
 		for name := range response.Header {
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"teaseltack"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 )
@@ -105,7 +107,9 @@
 }
 
 // AnswerIn decodes an answer. An answer without a reason is the complete answer of
-// the backend server; one with a reason is a refusal.
+// the backend server; one with a reason is a refusal. A complete answer that no backend
+// server can have given, such as one that an earlier version let pass, becomes a refusal
+// with the verdict MayHaveRun.
 func (Codec) AnswerIn(m *peerv1.ForwardResponse) *teaseltack.Answer {
 	a := &teaseltack.Answer{
 		ID:          teaseltack.RequestID(m.RequestId),
@@ -134,10 +138,26 @@
 			Detail:     m.Detail,
 			RetryAfter: time.Duration(m.RetryAfterUs) * time.Microsecond,
 		}
+		return a
 	}
+	a.Refusal = brokenAnswer(a)
 	return a
 }
 
+// brokenAnswer returns the refusal of a complete answer with a status or a header field
+// that cannot be passed on to a caller, and nil for any other answer.
+func brokenAnswer(a *teaseltack.Answer) *teaseltack.Refusal {
+	if a.Status < teaseltack.MinStatus || a.Status > teaseltack.MaxStatus {
+		return teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the answer has the status %d, allowed is %d to %d", a.Status, teaseltack.MinStatus, teaseltack.MaxStatus)
+	}
+	for _, f := range a.Headers {
+		if !httpguts.ValidHeaderFieldName(f.Name) || !httpguts.ValidHeaderFieldValue(f.Value) {
+			return teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the answer has the header field %.80q, which is not valid", f.Name+": "+f.Value)
+		}
+	}
+	return nil
+}
+
 // verdictIn decodes a verdict. An unknown one becomes MayHaveRun, which makes no
 // promise.
 func verdictIn(v uint32) teaseltack.Verdict {
--- a/message.go
+++ b/message.go
@@ -68,6 +68,12 @@
 	ServersOnly bool
 }
 
+// MinStatus and MaxStatus bound the status of a backend server's final answer.
+const (
+	MinStatus = 200
+	MaxStatus = 599
+)
+
 // Answer is a home's response to one call: the complete answer of the backend
 // server or a refusal.
 type Answer struct {
