Take no result from a broken answer of the platform's store

A part of a 404, 410 or 412 without a length counted as the store's word: the daemon gave up a lease that went on, read everything again, or took a write for not done that the store had done. A part of a 200 counted as a renewed lease. Callers see such a lease as a home that is absent.

Cause: the client of the store is the standard library's, which takes the end of a connection for the end of a body, also after a reset that the write of a request was told about, and accepts blanks in names and any status. Only calls with content in their answer decoded it, and only for a 200.

Already held: cut lengths, control bytes, statuses 000 and 999, cut answers to the calls that decode them, the bound on bodies.

Ruled out: refusing every answer of the store without a length. A JSON value shows its own end, and the platform's page promises no length (TestAWholeAnswerOfTheStoreNeedsNoLength).

Why it works: io/intact stands in front of the transport and sees each response before anything is taken from it; an answer that ends with its connection must be one whole JSON value. The pool uses its IsDelimited in place of a copy of its own.

--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -16,6 +16,7 @@
 
 	"teaseltack"
 	"teaseltack/io/head"
+	"teaseltack/io/intact"
 )
 
 const (
@@ -226,7 +227,7 @@
 		return nil, false, err
 	}
 	c.updateKeepAlive(httpResponse.Header)
-	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Delimited: isDelimited(httpResponse)}
+	response := &Response{Status: httpResponse.StatusCode, Header: httpResponse.Header, Body: body, Delimited: intact.IsDelimited(httpResponse)}
 	return response, response.Delimited && !httpResponse.Close, nil
 }
 
@@ -271,12 +272,6 @@
 	return nil
 }
 
-// isDelimited reports whether the answer's own bytes show where it ends, rather than the
-// end of the connection.
-func isDelimited(r *http.Response) bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody
-}
-
 // readBody reads the body in chunks that are allocated as the bytes arrive, since a server
 // may announce more than it sends.
 func (c *conn) readBody(httpResponse *http.Response) ([]byte, error) {
