Let the tools read answers through io/intact

`load` reported a part of an answer without a length as complete, also one that a reset had ended while its upload was being written, and answers with a blank in the name of a field. Calls at the stand-in backend server succeeded on such answers to their nested calls, so that the caller of the root got a 200 for work that had no whole answer below it.

Cause: the tools used the standard library's client as it is, with the same gaps as the client of the platform's store, and read without a bound. `demo` also ignored the error of a body that was cut.

Already held: cut lengths and chunks, control bytes, status 000.

--- a/io/cmds/client.go
+++ b/io/cmds/client.go
@@ -19,6 +19,7 @@
 	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/io/auth"
+	"teaseltack/io/intact"
 	"teaseltack/io/random"
 )
 
@@ -49,7 +50,7 @@
 		}
 		key = auth.Key(trimLineEnd(text))
 	}
-	httpClient := &http.Client{Transport: key.Transport(http.DefaultTransport), Timeout: callTimeout}
+	httpClient := &http.Client{Transport: key.Transport(intact.New(intact.Config{})), Timeout: callTimeout}
 	return operatorv1connect.NewOperatorServiceClient(httpClient, "http://"+*f.daemon, connect.WithProtoJSON()), nil
 }
 
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -17,6 +17,7 @@
 
 	"teaseltack"
 	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
+	"teaseltack/io/intact"
 	"teaseltack/io/load"
 )
 
@@ -199,12 +200,15 @@
 	}
 	request.Header.Set("Idempotency-Key", key)
 	request.Header.Set("Teaseltack-Attempt", fmt.Sprint(attempt))
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: intact.New(intact.Config{})}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0
 	}
 	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
 	return response.StatusCode
 }
 
--- a/io/demo/fleet.go
+++ b/io/demo/fleet.go
@@ -20,6 +20,7 @@
 	"teaseltack/io/dummy"
 	"teaseltack/io/fakekv"
 	"teaseltack/io/httpd"
+	"teaseltack/io/intact"
 )
 
 const (
@@ -158,7 +159,7 @@
 }
 
 func (f *fleet) operator(i int) operatorv1connect.OperatorServiceClient {
-	return operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+f.daemons[i].OperatorAddress())
+	return operatorv1connect.NewOperatorServiceClient(&http.Client{Transport: intact.New(intact.Config{})}, "http://"+f.daemons[i].OperatorAddress())
 }
 
 // await waits until every daemon's status satisfies the condition.
--- a/io/dummy/dummy.go
+++ b/io/dummy/dummy.go
@@ -23,6 +23,7 @@
 	"teaseltack/io/edge"
 	"teaseltack/io/header"
 	"teaseltack/io/httpd"
+	"teaseltack/io/intact"
 	"teaseltack/io/random"
 )
 
@@ -98,7 +99,7 @@
 		instance: strconv.FormatUint(source.Uint64(), 16),
 		started:  cfg.Timers.Now(),
 		slots:    make(chan struct{}, cfg.Slots),
-		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Connections}},
+		client:   &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: cfg.Connections}})},
 	}
 	b.slowdown.Store(1)
 	server, err := httpd.Listen(httpd.Config{Name: "backend server", Address: cfg.Address})
--- a/io/intact/intact.go
+++ b/io/intact/intact.go
@@ -12,11 +12,15 @@
 	"teaseltack"
 )
 
+// defaultMaxBytes is the default bound of a body.
+const defaultMaxBytes = 64 << 20
+
 // Config configures a Transport.
 type Config struct {
 	// Base sends the requests; nil stands for http.DefaultTransport.
 	Base http.RoundTripper
-	// MaxBytes bounds the body of a response.
+	// MaxBytes bounds the body of a response; 0 stands for 64 MiB, the
+	// largest answer that the settings of a daemon allow.
 	MaxBytes int64
 	// SelfDelimited accepts bodies that have neither a length nor chunks. The reader must
 	// then find the end in the content, such as that of a JSON value: a reset while the
@@ -36,6 +40,9 @@
 	if cfg.Base == nil {
 		cfg.Base = http.DefaultTransport
 	}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = defaultMaxBytes
+	}
 	return &Transport{cfg: cfg}
 }
 
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -16,6 +16,7 @@
 
 	"teaseltack"
 	"teaseltack/io/header"
+	"teaseltack/io/intact"
 	"teaseltack/io/random"
 )
 
@@ -73,7 +74,7 @@
 	const maxIdlePerHost = 1000
 	return &Caller{
 		cfg:     cfg,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost}},
+		client:  &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost}})},
 		source:  random.New(),
 		report:  Report{Refused: map[string]int{}},
 		latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits),
--- a/io/tour/tour.go
+++ b/io/tour/tour.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"teaseltack/io/config"
+	"teaseltack/io/intact"
 	"teaseltack/io/side"
 	"teaseltack/platform"
 	"teaseltack/platform/fake"
@@ -141,7 +142,8 @@
 	}
 	request.Host = "counter.example"
 	platform.SetCallerHeaders(request.Header, id, 2*time.Second)
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: intact.New(intact.Config{})}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", fmt.Errorf("sending a payment: %w", err)
 	}
