Bound announcements and the key-value service's answers

The report: a faulty server sends bytes without end, and the machine that called it keeps them until its memory is gone. Looked for in every place that reads from a backend server or the platform. Answers of backend servers were bounded already. Two reads of the stand-alone daemon were not: the announcement that its backend server posts, and the answers of the platform's key-value service. A daemon that runs out of memory takes the requests of all its callers with it.

Cause: echo's binder and connect's client read all they get unless told otherwise; the bounds stood at the other readers only.

In io/pool nothing was changed for it.

Why it works: the libraries' own limits are set where the bytes are read.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,8 @@
 	bodyTimeout = 20 * time.Second
 	// maxLifetimeMs bounds the lifetime that a caller may request.
 	maxLifetimeMs = 600_000
+	// maxAnnouncementBytes bounds the announcement of a backend server.
+	maxAnnouncementBytes = 64 << 10
 	// maxAttempt bounds the attempt and retry numbers that a caller may send.
 	maxAttempt = 1000
 	// maxNameBytes bounds the length of ids and keys from callers.
@@ -308,6 +310,8 @@
 
 func (h *Handler) announce(c echo.Context) error {
 	var announcement Announcement
+	r := c.Request()
+	r.Body = http.MaxBytesReader(c.Response().Writer, r.Body, maxAnnouncementBytes)
 	if err := c.Bind(&announcement); err != nil {
 		return h.writeRefusal(c, http.StatusBadRequest, teaseltack.Refuse(teaseltack.ReasonBadRequest, "invalid announcement: %v", err))
 	}
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -131,3 +131,23 @@
 		}
 	})
 }
+
+// Guards against the memory that a backend server would take with an announcement without
+// end.
+func TestAnAnnouncementIsBounded(t *testing.T) {
+	announced := 0
+	api := httptest.NewServer(edge.New(edge.Config{
+		Timers: clock.Clock{}, Rand: random.Seeded(1), Log: hclog.NewNullLogger(), MaxBodyBytes: 8 << 20,
+		Announce: func(edge.Announcement) error { announced++; return nil },
+	}))
+	t.Cleanup(api.Close)
+	post := func(service string) int {
+		response, err := http.Post(api.URL+"/teaseltack/v1/announce", "application/json", strings.NewReader(`{"service": "`+service+`", "address": "127.0.0.1:1", "slots": 1}`))
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	assert.Equal(t, post("till"), http.StatusNoContent)
+	assert.Equal(t, post(strings.Repeat("x", 1<<20)), http.StatusBadRequest)
+	assert.Equal(t, announced, 1)
+}
--- a/io/keyval/keyval.go
+++ b/io/keyval/keyval.go
@@ -19,6 +19,8 @@
 	pingAfter = time.Second
 	// pingTimeout is the time after which an unanswered ping closes the connection.
 	pingTimeout = time.Second
+	// maxMessageBytes bounds one answer; a value has up to a megabyte.
+	maxMessageBytes = 4 << 20
 )
 
 // Config configures a client.
@@ -51,7 +53,7 @@
 		onCall = func(string, error) {}
 	}
 	return &Client{
-		client: platformv1connect.NewKeyValueServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address),
+		client: platformv1connect.NewKeyValueServiceClient(&http.Client{Transport: transport}, "http://"+cfg.Address, connect.WithReadMaxBytes(maxMessageBytes)),
 		onCall: onCall,
 	}
 }
