Keep the shutdown time of the stop test, satisfy the linter

The fixture of e2e/answers gave all stand-alone daemons 7 s to stop instead of 5, which the tests of late requests need; TestAPlannedStopAnswersEvery- Request has its 5 s again.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -105,7 +105,13 @@
 
 func standAlone(t *testing.T, named bool) *path {
 	t.Helper()
-	d, stop := startDaemon(t, "h")
+	return standAloneFor(t, named, 5)
+}
+
+// standAloneFor is the path through a daemon with shutdownS seconds for its stop.
+func standAloneFor(t *testing.T, named bool, shutdownS int) *path {
+	t.Helper()
+	d, stop := startDaemon(t, "h", shutdownS)
 	s := startServer(t, named)
 	s.announceTo(t, d)
 	p := newPath(d.OuterAddress(), "/shop/look-up", "", s, stop)
@@ -113,24 +119,24 @@
 	return p
 }
 
-// standAloneEntry is the path through a daemon without a backend server to the server of
-// another one.
-func standAloneEntry(t *testing.T) *path {
+// standAloneEntry is the path through a daemon without a backend server, with shutdownS
+// seconds for its stop, to the server of another one.
+func standAloneEntry(t *testing.T, shutdownS int) *path {
 	t.Helper()
-	home, _ := startDaemon(t, "home")
+	home, _ := startDaemon(t, "home", 5)
 	s := startServer(t, true)
 	s.announceTo(t, home)
-	d, stop := startDaemon(t, "entry", home.PeerAddress())
+	d, stop := startDaemon(t, "entry", shutdownS, home.PeerAddress())
 	p := newPath(d.OuterAddress(), "/shop/look-up", "", s, stop)
 	p.awaitService(t)
 	return p
 }
 
 // startDaemon runs a stand-alone daemon and returns it with the function that stops it.
-func startDaemon(t *testing.T, host string, peers ...string) (*daemon.Daemon, func() error) {
+func startDaemon(t *testing.T, host string, shutdownS int, peers ...string) (*daemon.Daemon, func() error) {
 	t.Helper()
-	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": %q, "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": 7, "max-body-bytes": %d, "default-lifetime-ms": 20000}`,
-		host, anyAddress, anyAddress, anyAddress, anyAddress, maxBody))
+	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": %q, "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": %d, "max-body-bytes": %d, "default-lifetime-ms": 20000}`,
+		host, anyAddress, anyAddress, anyAddress, anyAddress, shutdownS, maxBody))
 	assert.NilError(t, err)
 	settings.Peers = peers
 	d, err := daemon.New(settings, hclog.NewNullLogger())
--- a/e2e/answers/head_test.go
+++ b/e2e/answers/head_test.go
@@ -38,9 +38,8 @@
 	"a blank in a name before the final": "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\n",
 }
 
-// get sends a request that the script answers, and returns the head and the body that the
-// caller receives.
-func (p *path) get(t *testing.T, answer script) (*http.Response, string) {
+// get sends a request that the script answers, and returns what the caller receives.
+func (p *path) get(t *testing.T, answer script) (status int, header http.Header, body string) {
 	t.Helper()
 	number := fmt.Sprint(numbers.Add(1))
 	p.server.setScript(number, answer)
@@ -49,7 +48,7 @@
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
-	return response, string(text)
+	return response.StatusCode, response.Header, string(text)
 }
 
 // checkRefused sends a request for each of the answers, which the server ends with its
@@ -64,11 +63,11 @@
 			p := start(t)
 			for name, head := range heads {
 				t.Run(name, func(t *testing.T) {
-					response, text := p.get(t, func(conn *net.TCPConn, r *http.Request) {
+					status, header, text := p.get(t, func(conn *net.TCPConn, r *http.Request) {
 						_, _ = io.WriteString(conn, strings.Replace(head, "%s", ownFields(r), 1)+"done")
 					})
-					assert.Equal(t, response.StatusCode, http.StatusBadGateway, "%v %q", response.Header, text)
-					assert.Equal(t, response.Header.Get("X-Teaseltack-Server-Stamp"), "")
+					assert.Equal(t, status, http.StatusBadGateway, "%v %q", header, text)
+					assert.Equal(t, header.Get("X-Teaseltack-Server-Stamp"), "")
 					p.awaitService(t)
 				})
 			}
--- a/e2e/answers/late_test.go
+++ b/e2e/answers/late_test.go
@@ -19,6 +19,8 @@
 	holdTime = 3500 * time.Millisecond
 	// lateFor is how long late requests are sent after the stop.
 	lateFor = 3900 * time.Millisecond
+	// lateShutdownS is the time in seconds that a stand-alone daemon has to stop.
+	lateShutdownS = 7
 	// latePeriod is the period in which late requests are sent.
 	latePeriod = 300 * time.Millisecond
 )
@@ -85,11 +87,11 @@
 	for name, test := range map[string]struct {
 		start func(*testing.T) *path
 		// work is how long the server works on a late request. The last requests would
-		// run past the end of the daemon, 7 s and 5.3 s after the stop.
+		// run past the end of the daemon, on the platform 5.3 s after the stop.
 		work time.Duration
 	}{
-		"stand-alone":             {func(t *testing.T) *path { return standAlone(t, true) }, 3500 * time.Millisecond},
-		"stand-alone, other home": {standAloneEntry, 3500 * time.Millisecond},
+		"stand-alone":             {func(t *testing.T) *path { return standAloneFor(t, true, lateShutdownS) }, 3500 * time.Millisecond},
+		"stand-alone, other home": {func(t *testing.T) *path { return standAloneEntry(t, lateShutdownS) }, 3500 * time.Millisecond},
 		"on the platform":         {onPlatform, 1600 * time.Millisecond},
 	} {
 		for kind, upload := range map[string]bool{"requests": false, "uploads": true} {
