Let the fuzz test of answers use one listener

`make fuzz` could not get through FuzzAnswer on this machine: after 5 s it failed with "bind: address already in use" on an input that passes by itself. Cause: a new listener for each input, and 29,005 sockets in TIME_WAIT beside 28,232 ports.

--- a/io/pool/fuzz_test.go
+++ b/io/pool/fuzz_test.go
@@ -27,10 +27,11 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nContent-Length : 4\r\nX Odd: 1\r\n\r\ndone"))
 	f.Add([]byte("HTTP/1.1 000 Zero\r\n" + idHeader + ": a\r\nContent-Length: 0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 204 No Content\r\n" + idHeader + ": a\r\n\r\n"))
+	// A listener for each input would use up the ports: they stay in use for a minute.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f, err)
+	f.Cleanup(func() { _ = listener.Close() })
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = listener.Close() }()
 		go func() {
 			conn, err := listener.Accept()
 			if err != nil {
