--- a/io/dummy/dummy_test.go
+++ b/io/dummy/dummy_test.go
@@ -1,9 +1,7 @@
 package dummy_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -14,31 +12,16 @@
 	"teaseltack"
 	"teaseltack/io/clock"
 	"teaseltack/io/dummy"
+	"teaseltack/io/script"
 )
 
-// startDaemon returns the address of an inner listener that answers each request with the
-// text and ends the connection.
+// startDaemon returns the address of a stand-in for a daemon.
 func startDaemon(t *testing.T, text string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := script.Start(script.Config{Answer: text})
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(s.Close)
+	return s.Address()
 }
 
 // Guards against a call that succeeds on a broken answer to its nested call.
--- a/io/intact/intact_test.go
+++ b/io/intact/intact_test.go
@@ -1,9 +1,7 @@
 package intact_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,39 +9,20 @@
 	"gotest.tools/v3/assert"
 
 	"teaseltack/io/intact"
+	"teaseltack/io/script"
 )
 
 const maxBytes = 1000
 
-// startServer returns the URL of a server that answers each request with the text and
-// ends the connection.
-func startServer(t *testing.T, text string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
-}
-
+// get returns the body of a response with the text.
 func get(t *testing.T, cfg intact.Config, text string) (string, error) {
 	t.Helper()
+	s, err := script.Start(script.Config{Answer: text})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
 	cfg.MaxBytes = maxBytes
 	client := http.Client{Transport: intact.New(cfg)}
-	response, err := client.Get(startServer(t, text))
+	response, err := client.Get("http://" + s.Address())
 	if err != nil {
 		return "", err
 	}
--- a/io/load/load_test.go
+++ b/io/load/load_test.go
@@ -1,11 +1,7 @@
 package load_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,39 +10,16 @@
 
 	"teaseltack"
 	"teaseltack/io/load"
+	"teaseltack/io/script"
 )
 
-// startEntry returns the address of a listener that reads the head of each request,
-// answers it with the text and ends the connection, by a reset if reset is set.
-func startEntry(t *testing.T, text string, reset bool) string {
+// startEntry returns the address of a stand-in for a daemon.
+func startEntry(t *testing.T, cfg script.Config) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := script.Start(cfg)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, text)
-				if reset {
-					time.Sleep(2 * time.Millisecond)
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					return
-				}
-				_ = conn.(*net.TCPConn).CloseWrite()
-				_, _ = io.Copy(io.Discard, r.Body)
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	t.Cleanup(s.Close)
+	return s.Address()
 }
 
 // Guards against a broken answer that the tool reports as complete.
@@ -70,7 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := load.New(load.Config{
-				Entries: []string{startEntry(t, test.text, test.reset)}, Targets: []teaseltack.Target{{Service: "s", Method: "m"}},
+				Entries: []string{startEntry(t, script.Config{Answer: test.text, Reset: test.reset})}, Targets: []teaseltack.Target{{Service: "s", Method: "m"}},
 				Lifetime: 20 * time.Second, Duration: time.Second, BodyBytes: 8 << 20,
 			})
 			reply := c.Send(t.Context(), 0)
