Give the callers of the tests of broken answers time under load

TestBytesWithoutEndAreCutOff failed in 3 of 6 runs beside six busy processes: callers beside the endless answers got 502, `may-have-run`, `cancelled`. Their lifetime was the 100 ms that the fixture gives for lost answers, and the subtests took 0.11 to 0.12 s: the lifetime had ended, as the answer said. These tests are about bytes, not about time, so their requests now last 30 s; each must still get its whole answer or a true refusal.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -71,14 +71,27 @@
 	request.Host = p.host
 	request.Header.Set(testHeader, number)
 	request.Header.Set("X-Teaseltack-Attempt-Id", "attempt-"+number)
-	request.Header.Set("X-Teaseltack-Deadline-Ms", fmt.Sprint(lifetime.Milliseconds()))
-	request.Header.Set("Teaseltack-Lifetime-Ms", fmt.Sprint(lifetime.Milliseconds()))
+	setLifetime(request, lifetime)
 	// The requests of one caller have the same id in the product's own interface, as the
 	// nested calls of one request do.
 	request.Header.Set("Teaseltack-Request-Id", "same")
 	return request
 }
 
+// longRequest returns the request with the number, which has all the time that it needs.
+func (p *path) longRequest(number string) *http.Request {
+	request := p.request(number)
+	setLifetime(request, waitTimeout)
+	return request
+}
+
+// setLifetime sets how long the caller waits, for both kinds of daemon.
+func setLifetime(request *http.Request, length time.Duration) {
+	for _, name := range []string{"X-Teaseltack-Deadline-Ms", "Teaseltack-Lifetime-Ms"} {
+		request.Header.Set(name, fmt.Sprint(length.Milliseconds()))
+	}
+}
+
 // send sends the request with the number and returns its status and body.
 func (p *path) send(number string) (int, string, error) {
 	return p.do(p.request(number))
@@ -139,7 +152,7 @@
 // startDaemon runs a stand-alone daemon and returns it with the function that stops it.
 func startDaemon(t *testing.T, host string, shutdownS int, peers ...string) (*daemon.Daemon, func() error) {
 	t.Helper()
-	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": %q, "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": %d, "max-body-bytes": %d, "default-lifetime-ms": 20000}`,
+	settings, err := config.Parse("settings", fmt.Appendf(nil, `{"host": %q, "data-centre": "a", "outer-address": %q, "inner-address": %q, "peer-address": %q, "operator-address": %q, "shutdown-s": %d, "max-body-bytes": %d, "default-lifetime-ms": 30000}`,
 		host, anyAddress, anyAddress, anyAddress, anyAddress, shutdownS, maxBody))
 	assert.NilError(t, err)
 	settings.Peers = peers
--- a/e2e/answers/endless_test.go
+++ b/e2e/answers/endless_test.go
@@ -58,10 +58,7 @@
 			runs.Add(1)
 			answer(conn, r)
 		})
-		request := p.request(number)
-		request.Header.Set("X-Teaseltack-Deadline-Ms", "20000")
-		request.Header.Set("Teaseltack-Lifetime-Ms", "20000")
-		status, text, err := p.do(request)
+		status, text, err := p.do(p.longRequest(number))
 		if status != http.StatusServiceUnavailable || runs.Load() > 0 || time.Now().After(end) {
 			return status, text, err
 		}
@@ -87,7 +84,7 @@
 		})
 	}
 	for range 20 {
-		status, text, err := p.send(fmt.Sprint(numbers.Add(1)))
+		status, text, err := p.do(p.longRequest(fmt.Sprint(numbers.Add(1))))
 		assert.NilError(t, err)
 		assert.Assert(t, status == http.StatusOK || strings.Contains(text, "not-run"), "%d %q", status, text)
 	}
--- a/e2e/answers/head_test.go
+++ b/e2e/answers/head_test.go
@@ -43,7 +43,7 @@
 	t.Helper()
 	number := fmt.Sprint(numbers.Add(1))
 	p.server.setScript(number, answer)
-	response, err := p.client.Do(p.request(number))
+	response, err := p.client.Do(p.longRequest(number))
 	assert.NilError(t, err)
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
--- a/e2e/answers/late_test.go
+++ b/e2e/answers/late_test.go
@@ -47,10 +47,8 @@
 		time.Sleep(work)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Length: 4\r\n\r\ndone", ownFields(r))
 	})
-	l.request = p.request(number)
+	l.request = p.longRequest(number)
 	l.request.Method, l.request.Body, l.request.ContentLength = http.MethodPost, io.NopCloser(bytes.NewReader(make([]byte, 1000))), 1000
-	l.request.Header.Set("X-Teaseltack-Deadline-Ms", "20000")
-	l.request.Header.Set("Teaseltack-Lifetime-Ms", "20000")
 	var text bytes.Buffer
 	assert.NilError(t, l.request.Write(&text))
 	l.rest = text.Bytes()
--- a/e2e/answers/reset_test.go
+++ b/e2e/answers/reset_test.go
@@ -27,10 +27,8 @@
 	t.Helper()
 	number := fmt.Sprint(numbers.Add(1))
 	p.server.setScript(number, answer)
-	request := p.request(number)
+	request := p.longRequest(number)
 	request.Method, request.Body, request.ContentLength = http.MethodPost, io.NopCloser(bytes.NewReader(make([]byte, uploadSize))), uploadSize
-	request.Header.Set("X-Teaseltack-Deadline-Ms", "20000")
-	request.Header.Set("Teaseltack-Lifetime-Ms", "20000")
 	response, err := p.client.Do(request)
 	assert.NilError(t, err)
 	defer response.Body.Close()
