Take no cut compressed answer for an empty one in our tools

Found on reading the change again: io/intact took an answer that the standard library had decompressed for one with a length. A 200 with Content-Encoding: gzip and no length that ended before its body was whole and empty to `load`, the stand-in backend server and the other tools.

Cause: the library asks for gzip by itself and removes the length with the encoding, so a check after it cannot tell; its decoder reports the end before the first byte as an ordinary end.

Evidence: the new case "encoded, cut at once" of TestBrokenResponsesFail failed before (no error and an empty body); one cut within the head of the encoding was refused before as well. The client of the platform's store never asked for encodings, and io/pool does not decode.

Why it works: the transports behind io/intact no longer decompress, and a response that one has decompressed all the same now fails, as it has neither length nor chunks.

--- a/io/dummy/dummy.go
+++ b/io/dummy/dummy.go
@@ -99,7 +99,7 @@
 		instance: strconv.FormatUint(source.Uint64(), 16),
 		started:  cfg.Timers.Now(),
 		slots:    make(chan struct{}, cfg.Slots),
-		client:   &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: cfg.Connections}})},
+		client:   &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: cfg.Connections, DisableCompression: true}})},
 	}
 	b.slowdown.Store(1)
 	server, err := httpd.Listen(httpd.Config{Name: "backend server", Address: cfg.Address})
--- a/io/intact/intact.go
+++ b/io/intact/intact.go
@@ -17,7 +17,8 @@
 
 // Config configures a Transport.
 type Config struct {
-	// Base sends the requests; nil stands for http.DefaultTransport.
+	// Base sends the requests; nil stands for a shared transport. It must not decompress
+	// bodies by itself, which hides whether they had a length.
 	Base http.RoundTripper
 	// MaxBytes bounds the body of a response; 0 stands for 64 MiB, the
 	// largest answer that the settings of a daemon allow.
@@ -35,10 +36,19 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
+// sharedBase is the default transport without its decompression.
+var sharedBase = newBase()
+
+func newBase() *http.Transport {
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.DisableCompression = true
+	return base
+}
+
 // New returns a transport.
 func New(cfg Config) *Transport {
 	if cfg.Base == nil {
-		cfg.Base = http.DefaultTransport
+		cfg.Base = sharedBase
 	}
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = defaultMaxBytes
@@ -79,9 +89,9 @@
 }
 
 // IsDelimited reports whether the response's own bytes show where it ends, rather than the
-// end of the connection. One that the transport has decompressed no longer tells.
+// end of the connection.
 func IsDelimited(r *http.Response) bool {
-	return r.ProtoMajor > 1 || r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody || r.Uncompressed
+	return r.ProtoMajor > 1 || r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody
 }
 
 // boundedBody fails once more than the allowed bytes have been read.
--- a/io/intact/intact_test.go
+++ b/io/intact/intact_test.go
@@ -66,6 +66,8 @@
 		"blank before the colon":   "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ndone",
 		"control byte in a name":   "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 4\r\n\r\ndone",
 		"neither length nor chunk": "HTTP/1.1 200 OK\r\n\r\ndone",
+		"encoded, cut at once":     "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n",
+		"encoded, cut in its head": "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n\x1f\x8b\x08",
 		"end within the length":    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ndone",
 		"end within the chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
 		"long length":              "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001),
--- a/io/load/load.go
+++ b/io/load/load.go
@@ -74,7 +74,7 @@
 	const maxIdlePerHost = 1000
 	return &Caller{
 		cfg:     cfg,
-		client:  &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost}})},
+		client:  &http.Client{Transport: intact.New(intact.Config{Base: &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true}})},
 		source:  random.New(),
 		report:  Report{Refused: map[string]int{}},
 		latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits),
--- a/io/load/load_test.go
+++ b/io/load/load_test.go
@@ -32,6 +32,7 @@
 		"whole":                     {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", false, 1},
 		"reset within the upload":   {"HTTP/1.1 200 OK\r\n\r\npart", true, 0},
 		"end without a length":      {"HTTP/1.1 200 OK\r\n\r\npart", false, 0},
+		"encoded, cut at once":      {"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n", false, 0},
 		"end within the length":     {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", false, 0},
 		"blank in a name":           {"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\ndone", false, 0},
 		"blank before the colon":    {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\ndone", false, 0},
