Name the two kinds of daemon once, bound a wait of the stop test

Four tests of e2e/answers listed how each kind of daemon is started. The test of late requests would have waited without end if its first request had been refused. What is checked does not change.

--- a/e2e/answers/answers_test.go
+++ b/e2e/answers/answers_test.go
@@ -55,6 +55,12 @@
 	client   *http.Client
 }
 
+// bothKinds start a daemon of each kind with a backend server.
+var bothKinds = map[string]func(*testing.T) *path{
+	"stand-alone":     func(t *testing.T) *path { return standAlone(t, true) },
+	"on the platform": onPlatform,
+}
+
 func newPath(address, urlPath, host string, s *server, stop func() error) *path {
 	return &path{
 		url: "http://" + address + urlPath, host: host, server: s, stop: stop,
--- a/e2e/answers/endless_test.go
+++ b/e2e/answers/endless_test.go
@@ -32,10 +32,7 @@
 // Guards against a backend server that sends bytes without end: the daemon closes the
 // connection after a bounded part of them, and serves other callers meanwhile.
 func TestBytesWithoutEndAreCutOff(t *testing.T) {
-	for kind, start := range map[string]func(*testing.T) *path{
-		"stand-alone":     func(t *testing.T) *path { return standAlone(t, true) },
-		"on the platform": onPlatform,
-	} {
+	for kind, start := range bothKinds {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			p := start(t)
--- a/e2e/answers/head_test.go
+++ b/e2e/answers/head_test.go
@@ -54,10 +54,7 @@
 // checkRefused sends a request for each of the answers, which the server ends with its
 // connection. Callers must get none of them, and the own answer to the next request.
 func checkRefused(t *testing.T, heads map[string]string) {
-	for kind, start := range map[string]func(*testing.T) *path{
-		"stand-alone":     func(t *testing.T) *path { return standAlone(t, true) },
-		"on the platform": onPlatform,
-	} {
+	for kind, start := range bothKinds {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			p := start(t)
--- a/e2e/answers/late_test.go
+++ b/e2e/answers/late_test.go
@@ -113,8 +113,8 @@
 		status := held.send()
 		assert.Check(t, status == http.StatusOK, "the request before the stop: status %d", status)
 	})
-	for held.runs.Load() == 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(waitTimeout); held.runs.Load() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the request before the stop has not run")
 	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- p.stop() }()
--- a/e2e/answers/reset_test.go
+++ b/e2e/answers/reset_test.go
@@ -55,10 +55,7 @@
 // answered a long upload at once, without a length, and reset the connection while the
 // upload was being written.
 func TestAnAnswerThatEndsWithAResetIsNotWhole(t *testing.T) {
-	for name, start := range map[string]func(*testing.T) *path{
-		"stand-alone":     func(t *testing.T) *path { return standAlone(t, true) },
-		"on the platform": onPlatform,
-	} {
+	for name, start := range bothKinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := start(t)
--- a/e2e/answers/stop_test.go
+++ b/e2e/answers/stop_test.go
@@ -65,10 +65,7 @@
 // because their daemon was asked to stop. Callers use their connections until an answer
 // tells them to close.
 func TestAPlannedStopAnswersEveryRequest(t *testing.T) {
-	for name, start := range map[string]func(*testing.T) *path{
-		"stand-alone":     func(t *testing.T) *path { return standAlone(t, true) },
-		"on the platform": onPlatform,
-	} {
+	for name, start := range bothKinds {
 		for i := range *stops {
 			t.Run(fmt.Sprintf("%s %d", name, i), func(t *testing.T) {
 				t.Parallel()
