--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -61,7 +61,19 @@
 
 func start(t *testing.T, arguments ...string) *process {
 	t.Helper()
-	p := &process{t: t, command: exec.Command(program, arguments...), done: make(chan struct{})}
+	return startWithin(t, 0, arguments...)
+}
+
+// startWithin starts the program with a limit on the descriptors that it may open; 0
+// stands for the limit of the test's own process.
+func startWithin(t *testing.T, descriptors int, arguments ...string) *process {
+	t.Helper()
+	command := exec.Command(program, arguments...)
+	if descriptors > 0 {
+		script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+		command = exec.Command("sh", append([]string{"-c", script, program}, arguments...)...)
+	}
+	p := &process{t: t, command: command, done: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.command.Stdout = writer
 	p.command.Stderr = writer
@@ -143,6 +155,7 @@
 	t                             *testing.T
 	host                          string
 	settings                      string
+	descriptors                   int
 	outer, inner, peer, operators string
 }
 
@@ -153,6 +166,9 @@
 	address  string
 	daemons  []*daemon
 	backends []*process
+	// descriptors limits what the processes of the daemons may open; 0 stands for no limit
+	// of their own.
+	descriptors int
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -190,7 +206,7 @@
 // addDaemon starts a daemon with the daemons started before as its peers.
 func (f *fleet) addDaemon(host, dataCentre, extraSettings string) {
 	f.t.Helper()
-	d := &daemon{t: f.t, host: host, outer: freeAddress(f.t), inner: freeAddress(f.t), peer: freeAddress(f.t), operators: freeAddress(f.t)}
+	d := &daemon{t: f.t, host: host, descriptors: f.descriptors, outer: freeAddress(f.t), inner: freeAddress(f.t), peer: freeAddress(f.t), operators: freeAddress(f.t)}
 	var peers []string
 	for _, other := range f.daemons {
 		peers = append(peers, fmt.Sprintf("%q", other.peer))
@@ -205,7 +221,7 @@
 
 func (d *daemon) launch() {
 	d.t.Helper()
-	d.process = start(d.t, "daemon", "--settings", d.settings)
+	d.process = startWithin(d.t, d.descriptors, "daemon", "--settings", d.settings)
 	waitUntil(d.t, d.host+" is ready", func() bool { return status("http://"+d.operators+"/readyz") == http.StatusOK })
 }
 
