Bound the memory of callers' requests on the platform as a whole

What callers saw: on the platform a crowd of 24 clients with bodies of the largest legal size (8 MiB on a host of 128 MB) made the daemon hold 211 to 424 MiB; the platform kills such a process, and all callers lose their requests.

Cause: io/http1 bounded each body and nothing bounded all of them. A body with a length was allocated as soon as it was announced, one in chunks was read into a buffer that grew without being counted, and a client that stopped short of the end kept its buffer for 60 s.

Evidence: TestACrowdOfBodiesFitsTheMemory/platform/outer failed in whole, pieces, large-chunks, small-chunks and sent-over before. Ruled out: the listeners for readiness and announcements, whose bodies are bounded by 64 KiB, hold 28 to 30 MiB in the same test; an announced length over the limit was refused unread already.

Fix: core/usage counts what each request holds, head, read buffer and body, before it is allocated, in one limiter for the three HTTP listeners, half of memory-mb. It gives the memory back when the request is answered, refused or left. A request that finds no room gets 503 with Retry-After, and has not run; one that receives less than 16 KiB in a second makes room for others and gets 408, after the answers to requests before it on its connection; one that never fits gets 413. An eighth of the limit is left for requests of up to 64 KiB, so that ordinary callers go on beside large bodies. 100 Continue is sent only once the memory is there.

Not yet counted: the frames between daemons and the metrics listener.

--- /dev/null
+++ b/core/usage/holder.go
@@ -0,0 +1,167 @@
+package usage
+
+import (
+	"container/list"
+	"time"
+)
+
+// Holder is one user of the resource. It is safe for concurrent use. A nil holder may
+// hold anything.
+type Holder struct {
+	limiter *Limiter
+	evict   func()
+
+	// The fields below are guarded by limiter.mu.
+
+	amount int64
+	// large is set while the holder holds more than a small amount.
+	large      bool
+	references int
+	// element is the holder's place among those that are receiving; nil if it is not.
+	element    *list.Element
+	progressAt time.Time
+	// progress is what was received since progressAt.
+	progress int64
+	evicted  bool
+}
+
+// Take counts amount more. It returns ErrFull if there is no room, also after those that
+// have stalled have made room, and to a holder that was evicted, and ErrTooLarge if there
+// never is. The holder then holds what it held before.
+func (h *Holder) Take(amount int64) error {
+	if h == nil {
+		return nil
+	}
+	l := h.limiter
+	l.mu.Lock()
+	if h.evicted {
+		l.mu.Unlock()
+		return ErrFull
+	}
+	if total := h.amount + amount; total > l.cfg.Limit || total > l.cfg.SmallAmount && total > l.cfg.Limit-l.cfg.Reserve {
+		l.mu.Unlock()
+		return ErrTooLarge
+	}
+	evictions, ok := l.makeRoom(h, amount)
+	if ok {
+		h.add(amount)
+	}
+	l.mu.Unlock()
+	for _, evict := range evictions {
+		evict()
+	}
+	if !ok {
+		return ErrFull
+	}
+	return nil
+}
+
+// Give returns a part of what the holder holds.
+func (h *Holder) Give(amount int64) {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	if !h.evicted {
+		h.add(-amount)
+	}
+}
+
+// Progress counts what the holder has received. Less than the limiter's MinProgress
+// counts only together with what follows.
+func (h *Holder) Progress(received int64) {
+	if h == nil {
+		return
+	}
+	l := h.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h.progress += received
+	if h.element == nil || h.progress < l.cfg.MinProgress {
+		return
+	}
+	h.progress, h.progressAt = 0, l.cfg.Timers.Now()
+	l.receiving.MoveToBack(h.element)
+}
+
+// Complete marks that the holder receives nothing more, so that it cannot stall.
+func (h *Holder) Complete() {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	h.leaveReceiving()
+}
+
+// Receive marks that the holder receives again.
+func (h *Holder) Receive() {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	if h.element == nil && !h.evicted {
+		h.receive()
+	}
+}
+
+// Retain keeps what the holder holds until one more call of Release.
+func (h *Holder) Retain() {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	h.references++
+}
+
+// Release returns all that the holder holds once it was called as often as Retain and
+// Enter.
+func (h *Holder) Release() {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	if h.references--; h.references > 0 || h.evicted {
+		return
+	}
+	h.leaveReceiving()
+	h.add(-h.amount)
+}
+
+// receive adds the holder to those that may stall. The caller holds the limiter's lock.
+func (h *Holder) receive() {
+	h.progress, h.progressAt = 0, h.limiter.cfg.Timers.Now()
+	h.element = h.limiter.receiving.PushBack(h)
+}
+
+func (h *Holder) leaveReceiving() {
+	if h.element != nil {
+		h.limiter.receiving.Remove(h.element)
+		h.element = nil
+	}
+}
+
+// add changes what the holder holds. The caller holds the limiter's lock.
+func (h *Holder) add(change int64) {
+	l := h.limiter
+	if h.large {
+		l.heldByLarge -= h.amount
+	}
+	h.amount += change
+	l.held += change
+	h.large = h.amount > l.cfg.SmallAmount
+	if h.large {
+		l.heldByLarge += h.amount
+	}
+}
+
+// drop evicts the holder. The caller holds the limiter's lock and calls evict later.
+func (h *Holder) drop() {
+	h.leaveReceiving()
+	h.add(-h.amount)
+	h.evicted = true
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/head"
 )
 
@@ -33,6 +35,8 @@
 	server *Server
 	nc     net.Conn
 	reader *head.Reader
+	// buffer holds what the reader's buffer has grown by.
+	buffer *usage.Holder
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -49,7 +53,11 @@
 	// lingering is set once nothing more is sent: the write side is closed, and what the
 	// caller still sends is discarded until it closes its side.
 	lingering bool
-	closed    bool
+	// evicted is set while the request that is being received has to make room for others.
+	evicted bool
+	// discarding is set once no more requests are received.
+	discarding bool
+	closed     bool
 }
 
 // pendingRequest is a request that was read and not answered yet.
@@ -63,6 +71,7 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, reader: head.NewReader(nc, readBuffer)}
+	c.buffer = s.cfg.Memory.Enter(c.evict)
 	c.pendingChanged = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -103,6 +112,7 @@
 // serve reads requests until the caller closes the connection.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
+	defer c.buffer.Release()
 	defer c.close()
 	for {
 		request, closing, err := c.read()
@@ -116,6 +126,7 @@
 		}
 		p := &pendingRequest{request: request, close: closing, isHead: request.Method == "HEAD"}
 		if !c.enqueue(p) {
+			request.Memory.Release()
 			break
 		}
 		go c.run(p)
@@ -136,6 +147,9 @@
 // awaitClose discards what the caller sends until the caller closes the connection
 // or has lingered for too long.
 func (c *conn) awaitClose() {
+	c.mu.Lock()
+	c.discarding, c.evicted = true, false
+	c.mu.Unlock()
 	c.setReadDeadline(time.Time{})
 	for {
 		_, err := c.reader.Peek(1)
@@ -178,6 +192,7 @@
 		c.awaitTurn(p)
 	}
 	response := c.server.cfg.Handle(c.ctx, p.request)
+	p.request.Memory.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.response = &response
@@ -236,7 +251,7 @@
 			c.cancel()
 		}
 		c.linger()
-	case len(c.pending) == 0:
+	case len(c.pending) == 0 && !c.evicted:
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
 	}
 }
@@ -273,11 +288,32 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
-// setReadDeadline sets the time from which reads fail, unless the connection lingers.
+// evict ends the request that is being received. Those that are pending are answered.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.discarding || c.lingering {
+		return
+	}
+	c.evicted = true
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// endEviction reports whether the connection was evicted and lets it read again.
+func (c *conn) endEviction() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	evicted := c.evicted
+	c.evicted = false
+	return evicted
+}
+
+// setReadDeadline sets the time from which reads fail, unless the connection lingers or
+// was evicted.
 func (c *conn) setReadDeadline(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lingering {
+	if !c.lingering && !c.evicted {
 		_ = c.nc.SetReadDeadline(deadline)
 	}
 }
@@ -287,7 +323,12 @@
 	if c.server.cfg.OnMalformed != nil {
 		c.server.cfg.OnMalformed(malformed)
 	}
-	p := &pendingRequest{close: true, response: &Response{Status: malformed.status, Body: []byte(malformed.text + "\n")}}
+	response := &Response{Status: malformed.status, Body: []byte(malformed.text + "\n")}
+	if malformed.retryAfter > 0 {
+		seconds := strconv.FormatFloat(malformed.retryAfter.Seconds(), 'f', 3, 64)
+		response.Headers = []teaseltack.HeaderField{{Name: "Retry-After", Value: seconds}}
+	}
+	p := &pendingRequest{close: true, response: response}
 	if !c.enqueue(p) {
 		return
 	}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 )
 
 // Request is one request as read, with its whole body.
@@ -25,6 +26,9 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Memory is what the request holds of the server's memory. It is released when the
+	// request is answered.
+	Memory *usage.Holder
 }
 
 // Response is the answer to a request. A response with status 0 closes the
@@ -50,6 +54,9 @@
 	// when the caller disconnects.
 	Handle func(ctx context.Context, r *Request) Response
 	Limits func() Limits
+	// Memory bounds what all requests hold in bytes, from their heads to their answers. It
+	// may be shared among servers; nil bounds nothing.
+	Memory *usage.Limiter
 	// OnMalformed is called for a request that is refused without calling Handle, on
 	// the goroutine that reads the connection; it may be nil.
 	OnMalformed func(err error)
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"teaseltack/core/usage"
+	"teaseltack/io/body"
 	"teaseltack/io/head"
 )
 
@@ -17,6 +19,8 @@
 type malformedError struct {
 	status int
 	text   string
+	// retryAfter is sent to the caller if it is positive.
+	retryAfter time.Duration
 }
 
 // Error returns the status and the text.
@@ -39,19 +43,51 @@
 // after it.
 func (c *conn) read() (*Request, bool, error) {
 	limits := c.server.cfg.Limits()
-	if c.pendingCount() == 0 {
-		c.setReadDeadline(time.Now().Add(limits.IdleTimeout))
-	}
-	if _, err := c.reader.Peek(1); err != nil {
+	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return nil, false, err
 	}
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), nil)
+	memory := c.server.cfg.Memory.Enter(c.evict)
+	request, closing, err := c.readRequest(limits, memory)
+	c.shrinkBuffer()
+	if err != nil {
+		memory.Release()
+		return nil, false, c.asMalformed(err)
+	}
+	memory.Complete()
+	request.Memory = memory
+	c.setReadDeadline(time.Time{})
+	return request, closing, nil
+}
+
+// awaitRequest waits for the first byte of a request. An eviction that came after the last
+// request was complete has nothing to end.
+func (c *conn) awaitRequest(idleTimeout time.Duration) error {
+	for {
+		if c.pendingCount() == 0 {
+			c.setReadDeadline(time.Now().Add(idleTimeout))
+		}
+		if _, err := c.reader.Peek(1); err == nil || !c.endEviction() {
+			return err
+		}
+		c.setReadDeadline(time.Time{})
+	}
+}
+
+// headLineBytes is the memory in bytes that a parsed line of a head takes beside its
+// content.
+const headLineBytes = 256
+
+func (c *conn) readRequest(limits Limits, memory *usage.Holder) (*Request, bool, error) {
+	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), c.growBuffer)
 	if errors.Is(err, head.ErrTooLarge) {
 		return nil, false, newMalformed(http.StatusRequestHeaderFieldsTooLarge, "the head has over %d bytes", limits.HeaderBytes)
 	}
 	if err != nil {
-		return nil, false, asMalformed(err)
+		return nil, false, headTimeout(err)
+	}
+	if err := memory.Take(int64(len(requestHead) + headLineBytes*bytes.Count(requestHead, []byte("\n")))); err != nil {
+		return nil, false, err
 	}
 	if err := checkHead(requestHead); err != nil {
 		return nil, false, err
@@ -60,17 +96,46 @@
 	if err != nil {
 		return nil, false, newMalformed(http.StatusBadRequest, "reading the request: %v", err)
 	}
-	request, err := c.readBody(parsed, limits)
-	if err != nil {
-		return nil, false, err
+	request, err := c.readBody(parsed, limits, memory)
+	return request, parsed.Close, err
+}
+
+// growBuffer takes the memory for a read buffer of the size.
+func (c *conn) growBuffer(size int) error {
+	return c.buffer.Take(int64(size))
+}
+
+// shrinkBuffer replaces a buffer that has grown once all of its bytes are read.
+func (c *conn) shrinkBuffer() {
+	if c.reader.Size() == readBuffer || c.reader.Buffered() > 0 {
+		return
 	}
-	c.setReadDeadline(time.Time{})
-	return request, parsed.Close, nil
+	for size := 2 * readBuffer; size <= c.reader.Size(); size *= 2 {
+		c.buffer.Give(int64(size))
+	}
+	c.reader = head.NewReader(c.nc, readBuffer)
+}
+
+// asMalformed turns the errors of a connection that was evicted, and those of the limiter,
+// into the refusal of a request that has not run and may be sent again.
+func (c *conn) asMalformed(err error) error {
+	var malformed *malformedError
+	switch {
+	case c.endEviction():
+		return &malformedError{status: http.StatusRequestTimeout, text: "the request stalled and made room for others", retryAfter: c.server.cfg.Memory.RetryAfter()}
+	case errors.As(err, &malformed):
+		return err
+	case errors.Is(err, usage.ErrFull):
+		return &malformedError{status: http.StatusServiceUnavailable, text: "too many requests are being received", retryAfter: c.server.cfg.Memory.RetryAfter()}
+	case errors.Is(err, usage.ErrTooLarge), errors.Is(err, body.ErrTooLarge):
+		return newMalformed(http.StatusRequestEntityTooLarge, "%v", err)
+	}
+	return err
 }
 
-// asMalformed turns a timeout into a malformedError; it returns other errors as they
+// headTimeout turns a timeout into a malformedError; it returns other errors as they
 // are.
-func asMalformed(err error) error {
+func headTimeout(err error) error {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
 		return newMalformed(http.StatusRequestTimeout, "the head of the request was not received in time")
@@ -116,10 +181,7 @@
 	return nil
 }
 
-func (c *conn) readBody(parsed *http.Request, limits Limits) (*Request, error) {
-	if parsed.ContentLength > limits.BodyBytes {
-		return nil, newMalformed(http.StatusRequestEntityTooLarge, "the body has %d bytes, allowed are %d", parsed.ContentLength, limits.BodyBytes)
-	}
+func (c *conn) readBody(parsed *http.Request, limits Limits, memory *usage.Holder) (*Request, error) {
 	request := &Request{
 		Method: parsed.Method, Host: parsed.Host, URI: parsed.RequestURI, Path: parsed.URL.EscapedPath(),
 		Header: parsed.Header,
@@ -127,37 +189,43 @@
 	if parsed.Body == http.NoBody {
 		return request, nil
 	}
+	var source io.Reader = parsed.Body
 	if parsed.Header.Get("Expect") != "" {
-		c.awaitTurn(nil)
-		// After an error the caller sends no body, so that reading it fails.
-		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+		source = &expectingReader{conn: c, source: source}
 	}
 	c.setReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readLimited(parsed.Body, parsed.ContentLength, limits.BodyBytes)
-	if err != nil {
-		return nil, err
+	received, err := body.Receiver{Limit: limits.BodyBytes, Holder: memory}.Receive(source, parsed.ContentLength)
+	if err != nil && parsed.ContentLength < 0 && !isOurs(err) {
+		return nil, newMalformed(http.StatusBadRequest, "%v", err)
 	}
-	request.Body = body
-	return request, nil
+	request.Body = received
+	return request, err
 }
 
-// bodyTimeout bounds the time to receive a body.
-const bodyTimeout = 60 * time.Second
+// expectingReader asks the caller for the body at the first read.
+type expectingReader struct {
+	conn   *conn
+	source io.Reader
+	asked  bool
+}
 
-func readLimited(body io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 {
-		buffer := make([]byte, length)
-		if _, err := io.ReadFull(body, buffer); err != nil {
-			return nil, fmt.Errorf("reading a body of %d bytes: %w", length, err)
-		}
-		return buffer, nil
-	}
-	buffer, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, newMalformed(http.StatusBadRequest, "reading the body: %v", err)
-	}
-	if int64(len(buffer)) > limit {
-		return nil, newMalformed(http.StatusRequestEntityTooLarge, "the body has over %d bytes", limit)
+// Read reads a part of the body.
+func (e *expectingReader) Read(p []byte) (int, error) {
+	if !e.asked {
+		e.asked = true
+		e.conn.awaitTurn(nil)
+		// After an error the caller sends no body, so that reading it fails.
+		_, _ = io.WriteString(e.conn.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+		e.conn.setReadDeadline(time.Now().Add(bodyTimeout))
 	}
-	return buffer, nil
+	return e.source.Read(p)
 }
+
+// isOurs reports whether a body was not read because of a limit, rather than an error of
+// its source.
+func isOurs(err error) bool {
+	return errors.Is(err, body.ErrTooLarge) || errors.Is(err, usage.ErrTooLarge) || errors.Is(err, usage.ErrFull)
+}
+
+// bodyTimeout bounds the time to receive a body.
+const bodyTimeout = 60 * time.Second
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -55,11 +55,11 @@
 // createServers creates the servers of the listeners; Run starts them.
 func (s *Sidecar) createServers(l *listeners) {
 	s.listeners = l
-	s.outerServer = http1.New(http1.Config{Listener: l.outer, Handle: s.handle, Limits: s.limits, OnMalformed: s.onMalformed})
-	s.readinessServer = http1.New(http1.Config{Listener: l.ready, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
+	s.outerServer = http1.New(http1.Config{Listener: l.outer, Memory: s.memory, Handle: s.handle, Limits: s.limits, OnMalformed: s.onMalformed})
+	s.readinessServer = http1.New(http1.Config{Listener: l.ready, Memory: s.memory, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
 		return platform.ServeReadiness(s.isReady(), r)
 	}})
-	s.announceServer = http1.New(http1.Config{Listener: l.announce, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
+	s.announceServer = http1.New(http1.Config{Listener: l.announce, Memory: s.memory, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
 		return platform.ServeAnnouncement(s, r)
 	}})
 	mux := http.NewServeMux()
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -31,6 +31,7 @@
 	"teaseltack/core/scope"
 	"teaseltack/core/ticket"
 	"teaseltack/core/tomb"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/config"
 	"teaseltack/io/http1"
@@ -102,21 +103,23 @@
 	timers   teaseltack.Timers
 	started  time.Time
 
-	gate            *admit.Gate
-	origins         *origin.Table
-	nestedStats     *nested.Stats
-	picker          *picker.Picker
-	levels          *levels.Table
-	home            *home.Home
-	entry           *entry.Entry
-	tickets         *ticket.Table
-	tracker         *health.Tracker
-	tombstones      *tomb.Tombstones
-	rejoin          *rejoin.Guard
-	roster          *roster.Roster
-	follower        *follow.Follower
-	links           *link.Links
-	pool            *pool.Pool
+	gate        *admit.Gate
+	origins     *origin.Table
+	nestedStats *nested.Stats
+	picker      *picker.Picker
+	levels      *levels.Table
+	home        *home.Home
+	entry       *entry.Entry
+	tickets     *ticket.Table
+	tracker     *health.Tracker
+	tombstones  *tomb.Tombstones
+	rejoin      *rejoin.Guard
+	roster      *roster.Roster
+	follower    *follow.Follower
+	links       *link.Links
+	pool        *pool.Pool
+	// memory bounds what requests hold, at all listeners together.
+	memory          *usage.Limiter
 	metrics         *metric.Metrics
 	outerServer     *http1.Server
 	readinessServer *http1.Server
@@ -173,6 +176,7 @@
 	s.origins = origin.New()
 	s.nestedStats = nested.New(nested.Config{Timers: s.timers})
 	s.pool = s.newPool()
+	s.memory = usage.New(usage.Memory(s.timers, c.MemoryMB<<20/requestDivisor))
 	s.tickets = ticket.New(ticket.Config{
 		Timers: s.timers, Rand: source, Host: host, Incarnation: incarnation,
 		Lifetime: ticketLifetime, MaxRecords: int(c.MaxRemembered), MaxKeptBytes: maxKeptAnswers,
@@ -219,6 +223,10 @@
 // the rest of the daemon.
 const readingDivisor = 4
 
+// requestDivisor sets the memory that requests may hold as memory-mb divided by it. The
+// rest is for answers and the daemon itself.
+const requestDivisor = 2
+
 func (s *Sidecar) newPool() *pool.Pool {
 	readingBytes := s.settings.MemoryMB << 20 / readingDivisor
 	return pool.New(pool.Config{Timers: s.timers, MaxAnswerBytes: min(s.settings.MaxBodyBytes, readingBytes), MaxReadingBytes: readingBytes})
