Bound the memory of frames between daemons on the platform

What callers saw: 24 clients of the peer listener, each with a frame of 8 MiB that stopped one byte short of its end, made the daemon hold 211 and 212 MiB on a host of 128 MB, and the process that exceeds its memory is killed. A long body of an ordinary caller was held three times: as read, encoded for the link, and at its home both as a frame and decoded.

Cause: a frame was allocated as soon as its length was announced, without a count over all links. Decoding empty fields took up to a hundred times their size.

Evidence: TestACrowdOfBodiesFitsTheMemory/platform/peer whole and pieces failed before. Ruled out: a length over the largest frame, which closed the link before and does so now (announced-over passed).

Fix: a frame takes its memory, and that of its decoded fields, from the limiter of the requests before it is allocated, and holds it until its call is answered. A call without room is skipped, answered not-run with overload, and the link goes on; the entry tries another home. A frame that stalls makes room by closing its connection. Answers of other daemons count while they are read in the limiter of the answers of the backend server, which replaces the pool's own count with the same bound. Long bodies are neither copied into a frame nor out of it; the schema and older daemons see the same messages. Bodies in the write queue stay counted until they are written, and are written on a goroutine of their own: the goroutine of any other call could have waited for them.

--- a/core/usage/holder.go
+++ b/core/usage/holder.go
@@ -13,7 +13,8 @@
 
 	// The fields below are guarded by limiter.mu.
 
-	amount int64
+	// size is what the holder has taken, amount the part of it that is counted.
+	size, amount int64
 	// large is set while the holder holds more than a small amount.
 	large      bool
 	references int
@@ -38,11 +39,12 @@
 		l.mu.Unlock()
 		return ErrFull
 	}
-	if total := h.amount + amount; total > l.cfg.Limit || total > l.cfg.SmallAmount && total > l.cfg.Limit-l.cfg.Reserve {
+	total := l.counted(h.size + amount)
+	if total > l.cfg.Limit || total > l.cfg.SmallAmount && total > l.cfg.Limit-l.cfg.Reserve {
 		l.mu.Unlock()
 		return ErrTooLarge
 	}
-	evictions, ok := l.makeRoom(h, amount)
+	evictions, ok := l.makeRoom(h, total-h.amount)
 	if ok {
 		h.add(amount)
 	}
@@ -129,7 +131,7 @@
 		return
 	}
 	h.leaveReceiving()
-	h.add(-h.amount)
+	h.add(-h.size)
 }
 
 // receive adds the holder to those that may stall. The caller holds the limiter's lock.
@@ -151,8 +153,10 @@
 	if h.large {
 		l.heldByLarge -= h.amount
 	}
-	h.amount += change
-	l.held += change
+	l.held -= h.amount
+	h.size += change
+	h.amount = l.counted(h.size)
+	l.held += h.amount
 	h.large = h.amount > l.cfg.SmallAmount
 	if h.large {
 		l.heldByLarge += h.amount
@@ -162,6 +166,6 @@
 // drop evicts the holder. The caller holds the limiter's lock and calls evict later.
 func (h *Holder) drop() {
 	h.leaveReceiving()
-	h.add(-h.amount)
+	h.add(-h.size)
 	h.evicted = true
 }
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -25,6 +25,8 @@
 	Timers teaseltack.Timers
 	// Limit is what all holders may hold together.
 	Limit int64
+	// Free is what each holder may hold without being counted.
+	Free int64
 	// Reserve is the part of the limit that is left for small holders, which hold up to
 	// SmallAmount each.
 	Reserve, SmallAmount int64
@@ -51,6 +53,16 @@
 	}
 }
 
+// freeAnswerBytes is the size in bytes up to which an answer is read whatever the other
+// answers hold, so that answers of usual size never wait for or fail beside large ones.
+const freeAnswerBytes = 64 << 10
+
+// Answers returns the configuration of a limiter of the bytes of the answers that are
+// being read.
+func Answers(timers teaseltack.Timers, limit int64) Config {
+	return Config{Timers: timers, Limit: limit, Free: freeAnswerBytes}
+}
+
 // Limiter counts what its holders hold. It is safe for concurrent use. A nil limiter
 // bounds nothing, and its holders are nil.
 type Limiter struct {
@@ -150,3 +162,8 @@
 	}
 	return byLarge <= l.cfg.Limit-l.cfg.Reserve
 }
+
+// counted returns the part of a holder's size that is counted.
+func (l *Limiter) counted(size int64) int64 {
+	return max(size-l.cfg.Free, 0)
+}
--- a/io/invoke/invoke.go
+++ b/io/invoke/invoke.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/header"
 	"teaseltack/io/pool"
 )
@@ -40,7 +41,7 @@
 // New returns an invoker without an address.
 func New(cfg Config) *Invoker {
 	return &Invoker{cfg: cfg, pool: pool.New(pool.Config{
-		Timers: cfg.Timers, MaxAnswerBytes: cfg.MaxAnswerBytes, MaxReadingBytes: cfg.MaxReadingBytes,
+		Timers: cfg.Timers, MaxAnswerBytes: cfg.MaxAnswerBytes, Reading: usage.New(usage.Answers(cfg.Timers, cfg.MaxReadingBytes)),
 	})}
 }
 
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -1,18 +1,14 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/encoding/protowire"
-	"google.golang.org/protobuf/proto"
-
 	"teaseltack"
+	"teaseltack/core/usage"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 	"teaseltack/io/wire"
 )
@@ -56,7 +52,11 @@
 
 	// writing guards the fields of the write queue.
 	writing sync.Mutex
-	queued  []byte
+	// queued holds the frames after those in parts.
+	queued []byte
+	// parts holds what is written before queued: frames with long bodies, and those that
+	// were queued before them.
+	parts []part
 	// spare is the buffer of the previous write, kept for reuse.
 	spare []byte
 	// flushing is set while a sender writes the queue.
@@ -121,40 +121,6 @@
 	c.lastReceived.Store(c.links.cfg.Timers.Now().UnixNano())
 }
 
-// send queues a frame. It writes the queue unless another sender is already writing
-// it; that sender then writes this frame as well.
-func (c *conn) send(f *peerv1.Frame) {
-	c.writing.Lock()
-	c.queued = protowire.AppendVarint(c.queued, uint64(proto.Size(f)))
-	var err error
-	if c.queued, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(c.queued, f); err != nil {
-		c.writing.Unlock()
-		c.close(err)
-		return
-	}
-	if c.flushing {
-		c.writing.Unlock()
-		return
-	}
-	c.flushing = true
-	for err == nil && len(c.queued) > 0 {
-		batch := c.queued
-		c.queued = c.spare[:0]
-		c.writing.Unlock()
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err = c.nc.Write(batch)
-		c.writing.Lock()
-		if c.spare = batch; cap(batch) > maxKeptBuffer {
-			c.spare = nil
-		}
-	}
-	c.flushing = false
-	c.writing.Unlock()
-	if err != nil {
-		c.close(err)
-	}
-}
-
 // call sends a call and waits for its answer or the end of ctx.
 func (c *conn) call(ctx context.Context, to teaseltack.HostID, call *teaseltack.Call) (*teaseltack.Answer, error) {
 	number := c.lastNumber.Add(1)
@@ -170,7 +136,7 @@
 	c.startChecks()
 	c.mu.Unlock()
 	request := wire.Codec{}.CallOut(to, &toSend, c.links.cfg.Timers.Now())
-	c.send(&peerv1.Frame{Number: number, Call: request})
+	c.sendHolding(&peerv1.Frame{Number: number, Call: request}, call.Payload.Memory)
 	select {
 	case result := <-sent.done:
 		return result.answer, result.err
@@ -200,6 +166,17 @@
 	sent.done <- callResult{answer: answer}
 }
 
+// failCall ends a call whose answer was not taken.
+func (c *conn) failCall(number uint64, refusal error) {
+	c.mu.Lock()
+	sent := c.outgoing[number]
+	delete(c.outgoing, number)
+	c.mu.Unlock()
+	if sent != nil {
+		sent.done <- callResult{err: refusal}
+	}
+}
+
 // scheduleCheck schedules the next check unless one is scheduled. The caller holds
 // c.mu.
 func (c *conn) scheduleCheck() {
@@ -287,25 +264,15 @@
 	c.send(&peerv1.Frame{Ping: c.links.newPing()})
 }
 
-// read receives and handles frames until the connection ends.
-func (c *conn) read() {
-	reader := bufio.NewReaderSize(c.nc, readBuffer)
-	options := protodelim.UnmarshalOptions{MaxSize: maxFrame}
-	for {
-		frame := &peerv1.Frame{}
-		if err := options.UnmarshalFrom(reader, frame); err != nil {
-			c.close(err)
-			return
-		}
-		c.markReceived()
-		c.handleFrame(frame)
+// handleFrame handles a frame. What it holds is released once it is handled, a call once
+// it is answered.
+func (c *conn) handleFrame(f *peerv1.Frame, memory *usage.Holder) {
+	if f.Call != nil {
+		c.handleCall(f.Number, f.Call, memory)
+		return
 	}
-}
-
-func (c *conn) handleFrame(f *peerv1.Frame) {
+	defer memory.Release()
 	switch {
-	case f.Call != nil:
-		c.handleCall(f.Number, f.Call)
 	case f.Answer != nil:
 		c.handleAnswer(f.Number, wire.Codec{}.AnswerIn(f.Answer))
 	case f.Cancel:
@@ -354,7 +321,9 @@
 }
 
 // handleCall starts a call of the peer on a goroutine of its own.
-func (c *conn) handleCall(number uint64, request *peerv1.ForwardRequest) {
+func (c *conn) handleCall(number uint64, request *peerv1.ForwardRequest, memory *usage.Holder) {
+	release := memory.Release
+	defer func() { release() }()
 	call, err := wire.Codec{}.CallIn(request, c.links.cfg.Timers.Now())
 	if err != nil {
 		c.sendAnswer(number, refusedAnswer(request, teaseltack.Refuse(teaseltack.ReasonBadRequest, "%v", err)))
@@ -376,7 +345,9 @@
 	}
 	c.incoming[number] = cancel
 	c.mu.Unlock()
+	release = func() {}
 	go func() {
+		defer memory.Release()
 		answer := c.links.cfg.Serve(ctx, call)
 		c.sendAnswer(number, answer)
 		c.mu.Lock()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 )
 
@@ -55,6 +56,9 @@
 	// goroutine of its own; ctx ends when the entry cancels the call or the
 	// connection closes.
 	Serve func(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer
+	// CallMemory bounds what the calls of other hosts hold, AnswerMemory the answers that
+	// are being read; nil bounds nothing.
+	CallMemory, AnswerMemory *usage.Limiter
 	// Current returns the generation and the document of the configuration in force.
 	Current func() (teaseltack.Generation, []byte)
 	// OnConfig is called when another host sends a newer configuration, on the
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -36,6 +36,12 @@
 }
 
 func newNodeWith(t *testing.T, name string, timers teaseltack.Timers) *node {
+	t.Helper()
+	return newNodeFor(t, name, timers, func(*link.Config) {})
+}
+
+// newNodeFor returns a node whose configuration is changed by the function.
+func newNodeFor(t *testing.T, name string, timers teaseltack.Timers, change func(*link.Config)) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -46,7 +52,7 @@
 	n.serve = func(_ context.Context, c *teaseltack.Call) *teaseltack.Answer {
 		return &teaseltack.Answer{ID: c.ID, Nonce: c.Nonce, Status: 200, Body: c.Payload.Body}
 	}
-	n.links = link.New(link.Config{
+	cfg := link.Config{
 		Timers: timers, Host: n.record.Host,
 		Serve: func(ctx context.Context, c *teaseltack.Call) *teaseltack.Answer { return n.serve(ctx, c) },
 		Current: func() (teaseltack.Generation, []byte) {
@@ -57,7 +63,9 @@
 		OnRecords:      func(records []teaseltack.Record) { n.receivedRecords <- records },
 		OnReachability: func(_ teaseltack.HostID, reachable bool) { n.reachability <- reachable },
 		MayBeStale:     func() bool { return false },
-	})
+	}
+	change(&cfg)
+	n.links = link.New(cfg)
 	go n.links.Serve(listener)
 	t.Cleanup(n.links.Close)
 	return n
--- /dev/null
+++ b/io/link/send.go
@@ -0,0 +1,133 @@
+package link
+
+import (
+	"time"
+
+	"teaseltack"
+	peerv1 "teaseltack/gen/teaseltack/peer/v1"
+)
+
+// part is some bytes of the write queue.
+type part struct {
+	bytes []byte
+	// memory is released once the bytes are written; it may be nil.
+	memory teaseltack.Memory
+}
+
+func (p part) release() {
+	if p.memory != nil {
+		p.memory.Release()
+	}
+}
+
+// send queues a frame. It writes the queue unless another sender is already writing
+// it; that sender then writes this frame as well.
+func (c *conn) send(f *peerv1.Frame) {
+	c.sendHolding(f, nil)
+}
+
+// sendHolding sends a frame whose long body stays in the memory until it is written.
+func (c *conn) sendHolding(f *peerv1.Frame, memory teaseltack.Memory) {
+	c.writing.Lock()
+	appended, body, err := appendFrame(c.queued, f)
+	c.queued = appended
+	if err != nil {
+		c.writing.Unlock()
+		c.close(err)
+		return
+	}
+	if body != nil {
+		c.queueBody(body, memory)
+	}
+	if c.flushing {
+		c.writing.Unlock()
+		return
+	}
+	c.flushing = true
+	c.writing.Unlock()
+	c.flush(false)
+}
+
+// queueBody queues a long body after the frames that are queued. The caller holds
+// c.writing.
+func (c *conn) queueBody(body []byte, memory teaseltack.Memory) {
+	if memory != nil {
+		memory.Retain()
+	}
+	c.parts = append(c.parts, part{bytes: c.queued}, part{bytes: body, memory: memory})
+	c.queued = nil
+}
+
+// flush writes the queue until it is empty or a write fails; what is left then is dropped.
+// Long bodies are written on a goroutine of their own, so that no sender waits longer than
+// its call does. The caller has set c.flushing.
+func (c *conn) flush(onOwnGoroutine bool) {
+	c.writing.Lock()
+	var err error
+	for err == nil && len(c.parts)+len(c.queued) > 0 {
+		if len(c.parts) > 0 && !onOwnGoroutine {
+			c.writing.Unlock()
+			go c.flush(true)
+			return
+		}
+		err = c.writeQueue()
+	}
+	c.flushing = false
+	if err != nil {
+		releaseAll(c.parts)
+		c.parts, c.queued = nil, nil
+	}
+	c.writing.Unlock()
+	if err != nil {
+		c.close(err)
+	}
+}
+
+// writeQueue writes what is queued now. The caller holds c.writing, which writeQueue
+// releases while it writes.
+func (c *conn) writeQueue() error {
+	parts, batch := c.parts, c.queued
+	c.parts, c.queued = nil, c.spare[:0]
+	c.writing.Unlock()
+	err := c.writeParts(parts)
+	if err == nil {
+		err = c.write(batch)
+	}
+	c.writing.Lock()
+	if c.spare = batch; cap(batch) > maxKeptBuffer {
+		c.spare = nil
+	}
+	return err
+}
+
+// writeParts writes the parts and releases them, those that are not written too.
+func (c *conn) writeParts(parts []part) error {
+	for i, p := range parts {
+		if err := c.write(p.bytes); err != nil {
+			releaseAll(parts[i:])
+			return err
+		}
+		p.release()
+	}
+	return nil
+}
+
+func releaseAll(parts []part) {
+	for _, p := range parts {
+		p.release()
+	}
+}
+
+// write writes bytes, partBytes at once, so that a peer that reads a long frame slowly
+// gets writeTimeout for each part.
+func (c *conn) write(bytes []byte) error {
+	for len(bytes) > 0 {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := c.nc.Write(bytes[:min(len(bytes), partBytes)])
+		if err != nil {
+			return err
+		}
+		bytes = bytes[n:]
+	}
+	return nil
+}
--- a/io/pool/body_test.go
+++ b/io/pool/body_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/pool"
 )
@@ -28,7 +29,7 @@
 		_, err := conn.Write(next.answer)
 		return next.whole && err == nil
 	})
-	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: maxBody, MaxReadingBytes: 2 * maxBody})
+	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: maxBody, Reading: usage.New(usage.Answers(clock.Clock{}, 2*maxBody))})
 	p.SetAddress(s.listener.Addr().String())
 	rapid.Check(t, func(t *rapid.T) {
 		body := bytes.Repeat([]byte("0123456789abcdef!"), rapid.IntRange(0, maxBody/17).Draw(t, "repeats"))
--- a/io/pool/bound_test.go
+++ b/io/pool/bound_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/pool"
 )
@@ -67,7 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			address, closed := endlessServer(t, 1, answer.start, answer.more)
-			p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, MaxReadingBytes: 4 << 20})
+			p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, Reading: usage.New(usage.Answers(clock.Clock{}, 4<<20))})
 			p.SetAddress(address)
 			_, err := do(t, p, "a")
 			assertVerdict(t, err, teaseltack.MayHaveRun)
@@ -92,7 +93,7 @@
 	for name, answer := range endlessAnswers {
 		t.Run(name, func(t *testing.T) {
 			address, closed := endlessServer(t, slots, answer.start, answer.more)
-			p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: hostBytes / 4, MaxReadingBytes: hostBytes / 4})
+			p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: hostBytes / 4, Reading: usage.New(usage.Answers(clock.Clock{}, hostBytes/4))})
 			p.SetAddress(address)
 			runtime.GC()
 			stop := make(chan struct{})
@@ -147,7 +148,7 @@
 		_, err := conn.Write([]byte(completeAnswer(r.Header.Get(idHeader), "ok")))
 		return err == nil
 	})
-	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 200_000, MaxReadingBytes: 200_000})
+	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 200_000, Reading: usage.New(usage.Answers(clock.Clock{}, 200_000))})
 	p.SetAddress(s.listener.Addr().String())
 	large := make(chan error, 1)
 	go func() {
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/head"
 	"teaseltack/io/intact"
 )
@@ -25,6 +26,9 @@
 	readBuffer = 4096
 	// maxChunk is the largest buffer in bytes that is allocated at once for a body.
 	maxChunk = 256 << 10
+	// minAnnouncedChunk is the smallest buffer in bytes for a part of a body with a
+	// length, other than the last.
+	minAnnouncedChunk = 64 << 10
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 64 << 10
 	// maxHeadLines bounds the lines of a head; parsing a short line takes many times
@@ -43,10 +47,12 @@
 
 // conn is one connection; it carries one request at a time.
 type conn struct {
-	nc             net.Conn
-	address        string
-	reader         *head.Reader
-	share          share
+	nc      net.Conn
+	address string
+	reader  *head.Reader
+	reading *usage.Limiter
+	// memory is what the answer that is being read holds.
+	memory         *usage.Holder
 	maxAnswerBytes int64
 	// answered is set once the connection has carried an answer.
 	answered bool
@@ -58,9 +64,9 @@
 	keepUntil time.Time
 }
 
-func newConn(nc net.Conn, address string, maxAnswerBytes int64, r *reading) *conn {
+func newConn(nc net.Conn, address string, maxAnswerBytes int64, reading *usage.Limiter) *conn {
 	return &conn{
-		nc: nc, address: address, reader: head.NewReader(nc, readBuffer), share: share{reading: r},
+		nc: nc, address: address, reader: head.NewReader(nc, readBuffer), reading: reading,
 		maxAnswerBytes: maxAnswerBytes, keepAlive: defaultKeepAlive,
 	}
 }
@@ -101,7 +107,8 @@
 	if err != nil {
 		return nil, false, c.refusal(ctx, err)
 	}
-	defer c.share.release()
+	c.beginAnswer()
+	defer func() { c.memory.Release() }()
 	for foreign := 0; ; foreign++ {
 		httpResponse, err := c.receiveHead(r.Method) //nolint:bodyclose // Closing it would read the rest of the body, however long.
 		if err != nil {
@@ -130,10 +137,26 @@
 		if foreign == maxForeignAnswers || !keepOpen {
 			return nil, false, teaseltack.Uncertain(teaseltack.ReasonAnswerMismatch, "the backend server answered another request")
 		}
-		c.share.release()
+		c.memory.Release()
+		c.beginAnswer()
 	}
 }
 
+// beginAnswer lets the next answer hold nothing yet. The time that it may take is bounded
+// by its request, so that it is never evicted.
+func (c *conn) beginAnswer() {
+	c.memory = c.reading.Enter(nil)
+	c.memory.Complete()
+}
+
+// grow counts size more bytes of the answer.
+func (c *conn) grow(size int64) error {
+	if err := c.memory.Take(size); err != nil {
+		return teaseltack.Uncertain(teaseltack.ReasonTooLarge, "%d more bytes of the answer, beside all answers that are being read: %v", size, err)
+	}
+	return nil
+}
+
 // match classifies an answer. An answer that names no request may be a late one unless
 // it is the first on its connection.
 func (c *conn) match(r *Request, httpResponse *http.Response) Match {
@@ -244,7 +267,7 @@
 // checkHead waits for the complete head of an answer and refuses one that is too large
 // to be parsed, or that the parser would accept though it is malformed.
 func (c *conn) checkHead() error {
-	answerHead, err := c.reader.PeekHead(maxHeadBytes, func(size int) error { return c.share.grow(int64(size)) })
+	answerHead, err := c.reader.PeekHead(maxHeadBytes, func(size int) error { return c.grow(int64(size)) })
 	if errors.Is(err, head.ErrTooLarge) {
 		return teaseltack.Uncertain(teaseltack.ReasonTooLarge, "the head of the answer has over %d bytes", maxHeadBytes)
 	}
@@ -311,9 +334,9 @@
 func (c *conn) newChunk(read, length int64) ([]byte, error) {
 	size := min(max(read, bytes.MinRead), maxChunk, c.maxAnswerBytes+1-read)
 	if length >= 0 {
-		size = min(max(size, freeAnswerBytes), length-read)
+		size = min(max(size, minAnnouncedChunk), length-read)
 	}
-	if err := c.share.grow(size); err != nil {
+	if err := c.grow(size); err != nil {
 		return nil, err
 	}
 	return make([]byte, size), nil
--- a/io/pool/fuzz_test.go
+++ b/io/pool/fuzz_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/pool"
 )
@@ -42,7 +43,7 @@
 				_, _ = conn.Write(sent)
 			}
 		}()
-		p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, MaxReadingBytes: 1 << 20})
+		p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, Reading: usage.New(usage.Answers(clock.Clock{}, 1<<20))})
 		p.SetAddress(listener.Addr().String())
 		response, err := do(t, p, "a")
 		if err != nil {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/socket"
 )
 
@@ -81,9 +82,9 @@
 	Timers teaseltack.Timers
 	// MaxAnswerBytes bounds the body of one answer.
 	MaxAnswerBytes int64
-	// MaxReadingBytes bounds the memory of all answers that are being read, beyond
-	// 64 KiB for each; an answer that would exceed it is refused.
-	MaxReadingBytes int64
+	// Reading bounds the memory of all answers that are being read; an answer that finds
+	// no room is refused. It may be shared with other readers of answers.
+	Reading *usage.Limiter
 	// OnConnect is called after each new connection, on the goroutine of Do and
 	// without locks; it may be nil.
 	OnConnect func()
@@ -92,7 +93,6 @@
 // Pool holds the connections to one address.
 type Pool struct {
 	cfg     Config
-	reading reading
 	mu      sync.Mutex
 	address string
 	idle    []*conn
@@ -100,9 +100,7 @@
 
 // New returns a pool without an address.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg}
-	p.reading.limit = cfg.MaxReadingBytes
-	return p
+	return &Pool{cfg: cfg}
 }
 
 // SetAddress sets the address; a change closes the idle connections.
@@ -206,5 +204,5 @@
 	if p.cfg.OnConnect != nil {
 		p.cfg.OnConnect()
 	}
-	return newConn(nc, address, p.cfg.MaxAnswerBytes, &p.reading), nil
+	return newConn(nc, address, p.cfg.MaxAnswerBytes, p.cfg.Reading), nil
 }
--- a/io/pool/reset_test.go
+++ b/io/pool/reset_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/pool"
 )
@@ -27,7 +28,7 @@
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
 	})
-	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, MaxReadingBytes: 1 << 20})
+	p := pool.New(pool.Config{Timers: clock.Clock{}, MaxAnswerBytes: 1 << 20, Reading: usage.New(usage.Answers(clock.Clock{}, 1<<20))})
 	p.SetAddress(s.listener.Addr().String())
 	rapid.Check(t, func(t *rapid.T) {
 		r := request("a", true)
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -175,7 +175,8 @@
 	s.gate = admit.New(admit.Config{Timers: s.timers, Slots: 1, Connections: 1, MaxWait: time.Duration(c.MaxWaitMs) * time.Millisecond, MaxNestedWait: maxNestedWait, MinShare: minShare})
 	s.origins = origin.New()
 	s.nestedStats = nested.New(nested.Config{Timers: s.timers})
-	s.pool = s.newPool()
+	answers := usage.New(usage.Answers(s.timers, c.MemoryMB<<20/readingDivisor))
+	s.pool = s.newPool(answers)
 	s.memory = usage.New(usage.Memory(s.timers, c.MemoryMB<<20/requestDivisor))
 	s.tickets = ticket.New(ticket.Config{
 		Timers: s.timers, Rand: source, Host: host, Incarnation: incarnation,
@@ -204,7 +205,7 @@
 		},
 	})
 	s.links = link.New(link.Config{
-		Timers: s.timers, Host: host, Serve: s.home.Serve,
+		Timers: s.timers, Host: host, Serve: s.home.Serve, CallMemory: s.memory, AnswerMemory: answers,
 		Current: s.follower.Current, OnConfig: s.follower.Adopt, Records: s.roster.Records, OnRecords: s.roster.AddKnown,
 		OnReachability: s.onReachability, MayBeStale: s.follower.MayBeStale,
 	})
@@ -227,9 +228,8 @@
 // rest is for answers and the daemon itself.
 const requestDivisor = 2
 
-func (s *Sidecar) newPool() *pool.Pool {
-	readingBytes := s.settings.MemoryMB << 20 / readingDivisor
-	return pool.New(pool.Config{Timers: s.timers, MaxAnswerBytes: min(s.settings.MaxBodyBytes, readingBytes), MaxReadingBytes: readingBytes})
+func (s *Sidecar) newPool(answers *usage.Limiter) *pool.Pool {
+	return pool.New(pool.Config{Timers: s.timers, MaxAnswerBytes: min(s.settings.MaxBodyBytes, s.settings.MemoryMB<<20/readingDivisor), Reading: answers})
 }
 
 func seconds(s float64) time.Duration {
--- a/message.go
+++ b/message.go
@@ -22,6 +22,16 @@
 	Query     string
 	Headers   []HeaderField
 	Body      []byte
+	// Memory is what the request holds while it is received and answered. Who keeps the
+	// body for longer retains it. It may be nil.
+	Memory Memory
+}
+
+// Memory is memory that is counted while it is held.
+type Memory interface {
+	// Retain keeps the memory until one more call of Release.
+	Retain()
+	Release()
 }
 
 // Call is one hop of a request, from an entry to a home.
