Bound the memory of operators' messages on the platform

What callers saw: 24 clients of the metrics listener, each with 8 MiB to the operators' call, made the daemon hold 412 to 2242 MiB on a host of 128 MB.

Cause: the listener used the standard library's server and connect's handler as they are. The handler has no bound on a message unless it is set, accepts compressed messages, and decodes empty fields into many times their size.

Ruled out: the /metrics page itself, which reads no body.

Fix: io/httpd, which the stand-alone daemon already uses, takes over the listener and counts heads while they are read, requests in progress and HTTP/2 connections. io/rpc receives a message within the memory of its request before connect does, bounds it by 64 KiB, and refuses compressed ones and those of over 10,100 fields with a clear error. Both use the limiter of the callers' requests, so that there is one count for all listeners.

A request now also counts 4 KiB beside its head: a caller may have 64 of them pending on each connection. The part of the limit that is left for small requests is a sixteenth instead of an eighth, so that two bodies of the largest legal size fit on the smallest host.

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -37,15 +37,28 @@
 }
 
 const (
+	// RetryAfter is the time after which a client that found no room may find the room of
+	// those that have stalled.
+	RetryAfter = patience
 	// patience and minBytes set the rate of 16 KiB/s below which a client stalls.
 	patience = time.Second
 	minBytes = 16 << 10
 	// smallBytes is the memory up to which a request is small, and smallDivisor the part
 	// of a limit that is left for small requests.
 	smallBytes   = 64 << 10
-	smallDivisor = 8
+	smallDivisor = 16
+	// requestBytes is the memory that a request takes beside its head and its body, and
+	// headerBytes that of a header field beside its content.
+	requestBytes = 4 << 10
+	headerBytes  = 256
 )
 
+// HeadBytes returns the memory in bytes that a request takes beside its body, if its head
+// has so many bytes and header fields.
+func HeadBytes(size, fields int) int64 {
+	return int64(requestBytes + size + headerBytes*fields)
+}
+
 // Memory returns the configuration of a limiter of the bytes that requests hold.
 func Memory(timers teaseltack.Timers, limit int64) Config {
 	return Config{
@@ -91,15 +104,6 @@
 	return l.held
 }
 
-// RetryAfter is the time after which a client that found no room may find the room of
-// those that have stalled.
-func (l *Limiter) RetryAfter() time.Duration {
-	if l == nil {
-		return 0
-	}
-	return l.cfg.Patience
-}
-
 // Enter adds a holder that is receiving and holds nothing yet. It holds what it takes
 // until it is released. evict is called once, without locks, if the holder has to make
 // room; it must end what the holder stands for.
--- a/io/http1/memory_test.go
+++ b/io/http1/memory_test.go
@@ -19,11 +19,21 @@
 )
 
 const (
-	bodyLimit = 4096
-	// memoryLimit holds the largest body and the heads of some requests.
-	memoryLimit = 3 * bodyLimit / 2
+	// bodyLimit is the largest body that fits the memory beside others.
+	bodyLimit = 64 << 10
+	// largeMemory holds the largest body and its head, but not two of them.
+	largeMemory = 3 * bodyLimit / 2
+	// smallMemory is what is left for small requests.
+	smallMemory = bodyLimit
 )
 
+// longLimits allow bodies that never fit.
+func longLimits() http1.Limits {
+	l := limits()
+	l.BodyBytes = 2 * bodyLimit
+	return l
+}
+
 // bounded is a server whose requests share a limited memory.
 type bounded struct {
 	memory  *usage.Limiter
@@ -34,8 +44,8 @@
 // patience.
 func serveBounded(t *testing.T, patience time.Duration, handle func(context.Context, *http1.Request) http1.Response) *bounded {
 	t.Helper()
-	return serveWithin(t, limits, handle, usage.Config{
-		Timers: clock.Clock{}, Limit: 2 * memoryLimit, Reserve: memoryLimit, SmallAmount: bodyLimit / 2, Patience: patience, MinProgress: 1,
+	return serveWithin(t, longLimits, handle, usage.Config{
+		Timers: clock.Clock{}, Limit: largeMemory + smallMemory, Reserve: smallMemory, SmallAmount: bodyLimit / 4, Patience: patience, MinProgress: 1,
 	})
 }
 
@@ -118,7 +128,7 @@
 		send(t, first, put(bodyLimit))
 		b.awaitHeld(t, isLarge)
 		second, secondAnswers := b.dial(t)
-		send(t, second, "PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+		send(t, second, fmt.Sprintf("PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", bodyLimit-1, full[1:]))
 		checkStatus(t, secondAnswers, http.StatusServiceUnavailable)
 	})
 	t.Run("one that waits for its answer holds its body", func(t *testing.T) {
@@ -148,7 +158,7 @@
 	t.Run("one that never fits is told so", func(t *testing.T) {
 		b := serveBounded(t, time.Hour, echo)
 		conn, answers := b.dial(t)
-		send(t, conn, "PUT / HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("x", 800)+"\r\nContent-Length: 4097\r\n\r\n")
+		send(t, conn, put(largeMemory))
 		checkStatus(t, answers, http.StatusRequestEntityTooLarge)
 	})
 }
@@ -184,9 +194,9 @@
 		checkStatus(t, stalledAnswers, http.StatusRequestTimeout)
 	})
 	t.Run("also within its head", func(t *testing.T) {
-		const headLimit, memory, crowd = 8 << 10, 64 << 10, 20
+		const headLimit, memory, crowd = 8 << 10, 2 * bodyLimit, 20
 		longHeads := func() http1.Limits {
-			l := limits()
+			l := longLimits()
 			l.HeaderBytes = headLimit
 			return l
 		}
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -74,10 +74,6 @@
 	}
 }
 
-// headLineBytes is the memory in bytes that a parsed line of a head takes beside its
-// content.
-const headLineBytes = 256
-
 func (c *conn) readRequest(limits Limits, memory *usage.Holder) (*Request, bool, error) {
 	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), c.growBuffer)
 	if errors.Is(err, head.ErrTooLarge) {
@@ -86,7 +82,7 @@
 	if err != nil {
 		return nil, false, headTimeout(err)
 	}
-	if err := memory.Take(int64(len(requestHead) + headLineBytes*bytes.Count(requestHead, []byte("\n")))); err != nil {
+	if err := memory.Take(usage.HeadBytes(len(requestHead), bytes.Count(requestHead, []byte("\n")))); err != nil {
 		return nil, false, err
 	}
 	if err := checkHead(requestHead); err != nil {
@@ -122,11 +118,11 @@
 	var malformed *malformedError
 	switch {
 	case c.endEviction():
-		return &malformedError{status: http.StatusRequestTimeout, text: "the request stalled and made room for others", retryAfter: c.server.cfg.Memory.RetryAfter()}
+		return &malformedError{status: http.StatusRequestTimeout, text: "the request stalled and made room for others", retryAfter: usage.RetryAfter}
 	case errors.As(err, &malformed):
 		return err
 	case errors.Is(err, usage.ErrFull):
-		return &malformedError{status: http.StatusServiceUnavailable, text: "too many requests are being received", retryAfter: c.server.cfg.Memory.RetryAfter()}
+		return &malformedError{status: http.StatusServiceUnavailable, text: "too many requests are being received", retryAfter: usage.RetryAfter}
 	case errors.Is(err, usage.ErrTooLarge), errors.Is(err, body.ErrTooLarge):
 		return newMalformed(http.StatusRequestEntityTooLarge, "%v", err)
 	}
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -7,17 +7,22 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"teaseltack/core/usage"
 )
 
 const (
-	headerTimeout   = 5 * time.Second
-	idleTimeout     = 2 * time.Minute
-	maxHeaderBytes  = 64 << 10
-	maxStreams      = 2000
-	sendPingTimeout = 15 * time.Second
-	pingTimeout     = 5 * time.Second
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	maxStreams     = 2000
+	// maxReceiveBuffer bounds what a connection in HTTP/2 receives unread, in bytes.
+	maxReceiveBuffer = 256 << 10
+	sendPingTimeout  = 15 * time.Second
+	pingTimeout      = 5 * time.Second
 )
 
 // Config configures a server.
@@ -27,11 +32,15 @@
 	Address string
 	// MaxConnections bounds the open connections; 0 means unlimited.
 	MaxConnections int
+	// Memory bounds what all requests hold in bytes, from their heads to their answers. It
+	// may be shared among servers; nil bounds nothing.
+	Memory *usage.Limiter
 }
 
 // Server accepts HTTP/1.1 and HTTP/2 without TLS.
 type Server struct {
 	name     string
+	memory   *usage.Limiter
 	server   *http.Server
 	listener net.Listener
 	// closing is set once each connection is to close after its next answer.
@@ -47,20 +56,29 @@
 	if cfg.MaxConnections > 0 {
 		listener = &boundedListener{Listener: listener, maxOpen: int64(cfg.MaxConnections)}
 	}
+	return New(cfg, listener), nil
+}
+
+// New returns a server for a listener that is open.
+func New(cfg Config, listener net.Listener) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{name: cfg.Name, listener: listener, server: &http.Server{
+	counting := &countingListener{Listener: listener, memory: cfg.Memory}
+	return &Server{name: cfg.Name, memory: cfg.Memory, listener: counting, server: &http.Server{
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
+		ConnContext:       withConn,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams,
-			SendPingTimeout:      sendPingTimeout,
-			PingTimeout:          pingTimeout,
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: maxReceiveBuffer,
+			MaxReceiveBufferPerStream:     maxReceiveBuffer,
+			SendPingTimeout:               sendPingTimeout,
+			PingTimeout:                   pingTimeout,
 		},
-	}}, nil
+	}}
 }
 
 // Address returns the listen address.
@@ -74,10 +92,67 @@
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		handler.ServeHTTP(w, r)
+		s.serveCounted(handler, w, r)
 	})
 }
 
+// serveCounted serves a request whose holder is in its context. Without memory for its
+// head, it closes the connection, or the stream in HTTP/2.
+func (s *Server) serveCounted(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	request := &request{controller: http.NewResponseController(w)}
+	memory := s.memory.Enter(request.evict)
+	defer memory.Release()
+	defer request.end()
+	if c := connOf(r.Context()); c != nil {
+		defer c.end()
+		if err := c.begin(r.ProtoMajor > 1); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if err := memory.Take(headBytes(r)); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.Body == http.NoBody {
+		memory.Complete()
+	}
+	handler.ServeHTTP(w, r.WithContext(usage.NewContext(r.Context(), memory)))
+}
+
+// headBytes returns the memory that a request takes beside its body.
+func headBytes(r *http.Request) int64 {
+	size, fields := len(r.RequestURI), 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+			fields++
+		}
+	}
+	return usage.HeadBytes(size, fields)
+}
+
+// request is a request in progress.
+type request struct {
+	controller *http.ResponseController
+	mu         sync.Mutex
+	ended      bool
+}
+
+// evict ends the reading of the request's body, unless the request has ended: the
+// controller must not be used then.
+func (r *request) evict() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended {
+		_ = r.controller.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (r *request) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
 // Serve serves requests until Shutdown.
 func (s *Server) Serve() error {
 	err := s.server.Serve(s.listener)
@@ -105,6 +180,28 @@
 	s.closing.Store(true)
 }
 
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	return s.server.Close()
+}
+
+// countingListener counts what its connections read.
+type countingListener struct {
+	net.Listener
+	memory *usage.Limiter
+}
+
+// Accept returns the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted}
+	c.memory = l.memory.Enter(func() { _ = accepted.Close() })
+	return c, nil
+}
+
 // boundedListener closes connections beyond maxOpen immediately after accepting them.
 type boundedListener struct {
 	net.Listener
--- a/io/link/receive.go
+++ b/io/link/receive.go
@@ -141,7 +141,7 @@
 	switch {
 	case f.Call != nil:
 		refusal := teaseltack.Refuse(teaseltack.ReasonOverload, "host %s has no memory for the call: %v", c.links.cfg.Host, cause)
-		refusal.RetryAfter = c.limiter().RetryAfter()
+		refusal.RetryAfter = usage.RetryAfter
 		c.sendAnswer(f.Number, refusedAnswer(f.Call, refusal))
 	case f.Answer != nil:
 		refusal := teaseltack.Uncertain(teaseltack.ReasonTooLarge, "no memory for the answer: %v", cause)
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -13,7 +13,9 @@
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/io/config"
 	"teaseltack/io/http1"
+	"teaseltack/io/httpd"
 	"teaseltack/io/metric"
+	"teaseltack/io/rpc"
 	"teaseltack/platform"
 )
 
@@ -64,10 +66,15 @@
 	}})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operatorService{side: s}))
-	s.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	bound := rpc.Bound{MaxBytes: maxOperatorMessage}
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operatorService{side: s}, bound.Options()))
+	s.metricsServer = httpd.New(httpd.Config{Name: "metrics listener", Memory: s.memory}, l.metrics)
+	s.metricsServer.Handle(bound.Wrap(mux))
 }
 
+// maxOperatorMessage bounds the messages of operators in bytes, which have few fields.
+const maxOperatorMessage = 64 << 10
+
 // Addresses holds the listen addresses of a daemon.
 type Addresses struct {
 	Outer, Ready, Announce, Metrics string
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +34,7 @@
 	"teaseltack/io/clock"
 	"teaseltack/io/config"
 	"teaseltack/io/http1"
+	"teaseltack/io/httpd"
 	"teaseltack/io/link"
 	"teaseltack/io/metric"
 	"teaseltack/io/pool"
@@ -124,7 +124,7 @@
 	outerServer     *http1.Server
 	readinessServer *http1.Server
 	announceServer  *http1.Server
-	metricsServer   *http.Server
+	metricsServer   *httpd.Server
 	listeners       *listeners
 
 	translator platform.Translator
@@ -340,7 +340,7 @@
 	go s.keepTombstones(running)
 	go s.roster.Run()
 	go s.links.Serve(s.listeners.peers)
-	go func() { _ = s.metricsServer.Serve(s.listeners.metrics) }()
+	go func() { _ = s.metricsServer.Serve() }()
 	go s.outerServer.Serve()
 	go s.readinessServer.Serve()
 	go s.announceServer.Serve()
