Bound the memory of requests to stand-alone daemons as a whole

What callers saw: in stand-alone mode a crowd of 24 clients with bodies of the largest legal size (8 MiB) made the daemon hold 320 to 508 MiB, at the outer and at the inner listener; with more clients it would go on to the end of the host's memory.

Cause: each body was bounded by max-body-bytes and read into a buffer that doubles; up to max-callers connections did so at once, and nothing bounded the inner listener. A body that stalled was held for 20 s.

Ruled out: a length over the limit, which is refused unread (37 to 39 MiB).

Fix: the new setting max-request-bytes bounds what the requests of all listeners hold (64 MiB by default), with the same limiter as on the platform: heads, bodies and a second copy of each body, since it may be encoded for another host. A request without room gets 503, overload and a time to retry after, with the verdict not-run; one that receives less than 16 KiB in a second makes room for others. Announcements count too. The runtime's memory limit is set from the bounds of requests and answers unless GOMEMLIMIT is.

The peer and operator listeners count heads only so far.

--- a/io/cmds/daemon.go
+++ b/io/cmds/daemon.go
@@ -1,12 +1,19 @@
 package cmds
 
 import (
+	"os"
+	"runtime/debug"
+
 	"github.com/alecthomas/kingpin/v2"
 
 	"teaseltack/io/config"
 	"teaseltack/io/daemon"
 )
 
+// controlBytes is the memory of a daemon beside requests and answers, the target in
+// docs/CAPACITY.md.
+const controlBytes = 32 << 20
+
 var daemonCommand = command{
 	name: "daemon",
 	help: "Run the daemon beside a backend server.",
@@ -17,6 +24,9 @@
 			if err != nil {
 				return usageError(err)
 			}
+			if os.Getenv("GOMEMLIMIT") == "" {
+				debug.SetMemoryLimit(settings.MaxRequestBytes + settings.MaxReadingBytes + controlBytes)
+			}
 			d, err := daemon.New(settings, newLog("teaseltack", settings.LogLevel, e.stderr))
 			if err != nil {
 				return err
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -34,6 +34,7 @@
 	MaxBodyBytes       int64    `json:"max-body-bytes"`
 	MaxAnswerBytes     int64    `json:"max-answer-bytes"`
 	MaxReadingBytes    int64    `json:"max-reading-bytes"`
+	MaxRequestBytes    int64    `json:"max-request-bytes"`
 	MaxCallers         int64    `json:"max-callers"`
 	DefaultLifetimeMs  int64    `json:"default-lifetime-ms"`
 	TicketLifetimeS    int64    `json:"ticket-lifetime-s"`
@@ -53,6 +54,7 @@
 		MaxBodyBytes:       8 << 20,
 		MaxAnswerBytes:     8 << 20,
 		MaxReadingBytes:    32 << 20,
+		MaxRequestBytes:    64 << 20,
 		MaxCallers:         4096,
 		DefaultLifetimeMs:  2000,
 		TicketLifetimeS:    120,
@@ -66,6 +68,19 @@
 	}
 }
 
+// MessageOverhead is the size in bytes allowed for headers, beside the body, in a message
+// between daemons.
+const MessageOverhead = 1 << 20
+
+// leastMessages is how many of the largest messages the memory of requests holds at least.
+// A daemon holds up to four copies of the one that it decodes.
+const leastMessages = 6
+
+// leastRequestBytes returns the least memory of requests.
+func (s *Settings) leastRequestBytes() int64 {
+	return leastMessages * (s.MaxBodyBytes + MessageOverhead)
+}
+
 type bounds struct {
 	key              string
 	value            func(*Settings) int64
@@ -77,6 +92,7 @@
 	{"max-body-bytes", func(s *Settings) int64 { return s.MaxBodyBytes }, 1024, 64 << 20},
 	{"max-answer-bytes", func(s *Settings) int64 { return s.MaxAnswerBytes }, 1024, 64 << 20},
 	{"max-reading-bytes", func(s *Settings) int64 { return s.MaxReadingBytes }, 1024, 1 << 40},
+	{"max-request-bytes", func(s *Settings) int64 { return s.MaxRequestBytes }, 1024, 1 << 40},
 	{"max-callers", func(s *Settings) int64 { return s.MaxCallers }, 1, 100_000},
 	{"default-lifetime-ms", func(s *Settings) int64 { return s.DefaultLifetimeMs }, 1, 600_000},
 	{"ticket-lifetime-s", func(s *Settings) int64 { return s.TicketLifetimeS }, 1, 86_400},
@@ -122,6 +138,9 @@
 	if _, given := p.offsets["max-reading-bytes"]; !given {
 		settings.MaxReadingBytes = max(settings.MaxReadingBytes, settings.MaxAnswerBytes)
 	}
+	if _, given := p.offsets["max-request-bytes"]; !given {
+		settings.MaxRequestBytes = max(settings.MaxRequestBytes, settings.leastRequestBytes())
+	}
 	if len(p.errors) == 0 {
 		p.check(&settings)
 	}
@@ -178,6 +197,9 @@
 	if s.MaxReadingBytes < s.MaxAnswerBytes {
 		p.addKeyError("max-reading-bytes", "is %d, allowed is at least max-answer-bytes, which is %d", s.MaxReadingBytes, s.MaxAnswerBytes)
 	}
+	if least := s.leastRequestBytes(); s.MaxRequestBytes < least {
+		p.addKeyError("max-request-bytes", "is %d, allowed is at least six times the sum of max-body-bytes and 1 MiB, which is %d", s.MaxRequestBytes, least)
+	}
 	if s.DefaultLifetimeMs <= s.MaxWaitMs {
 		p.addKeyError("default-lifetime-ms", "is %d, allowed is more than max-wait-ms, which is %d", s.DefaultLifetimeMs, s.MaxWaitMs)
 	}
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -27,6 +27,15 @@
 	assert.Equal(t, settings.MaxWaitMs, int64(100))
 }
 
+// Guards against a default that holds less than the largest body that is allowed.
+func TestMemoryOfRequestsFollowsTheLargestBody(t *testing.T) {
+	for size, want := range map[string]int64{"1024": 64 << 20, "67108864": 6 * 65 << 20} {
+		settings, err := config.Parse("f", []byte(strings.Replace(validSettings, `"host"`, `"max-body-bytes": `+size+`, "host"`, 1)))
+		assert.NilError(t, err)
+		assert.Equal(t, settings.MaxRequestBytes, want)
+	}
+}
+
 // Guards against sample settings that no longer match the checks.
 func TestSamplesAreGood(t *testing.T) {
 	paths, err := filepath.Glob("../../samples/*.hujson")
@@ -54,6 +63,7 @@
 		"twice":              {`"host": "till-1"`, `"host": "till-1", "host": "b"`, `host is given twice`},
 		"short lifetime":     {`"host": "till-1"`, `"default-lifetime-ms": 50, "host": "till-1"`, `default-lifetime-ms is 50, allowed is more than max-wait-ms`},
 		"short key lifetime": {`"host": "till-1"`, `"key-lifetime-s": 5, "host": "till-1"`, `key-lifetime-s is 5, allowed is at least ticket-lifetime-s`},
+		"little memory":      {`"host": "till-1"`, `"max-request-bytes": 1048576, "host": "till-1"`, `max-request-bytes is 1048576, allowed is at least six times the sum of max-body-bytes and 1 MiB, which is 56623104`},
 		"not JSON":           {`{`, `[`, `f: hujson: line 3`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/daemon/build.go
+++ b/io/daemon/build.go
@@ -53,7 +53,7 @@
 		Tickets: d.tickets, Scopes: scopes, Levels: d.levels,
 		MarkedLeaving: func() bool { return d.holder.Leaving(teaseltack.HostID(s.Host)) },
 	})
-	client := dial.New(dial.Config{Timers: d.timers, Key: auth.Key(s.PeerKey), MaxMessageBytes: int(s.MaxAnswerBytes) + messageOverhead})
+	client := dial.New(dial.Config{Timers: d.timers, Key: auth.Key(s.PeerKey), MaxMessageBytes: int(s.MaxAnswerBytes) + config.MessageOverhead})
 	d.buildPlatform(source)
 	d.entry = entry.New(entry.Config{
 		Timers: d.timers, Rand: source, Host: teaseltack.HostID(s.Host), Policies: d.holder, Picker: d.picker,
@@ -68,10 +68,6 @@
 	d.stops = append(d.stops, d.gossiper.Close, d.home.Close, d.gate.Close, d.tickets.Close)
 }
 
-// messageOverhead is the size allowed for headers, beside the body, in a peer
-// message.
-const messageOverhead = 1 << 20
-
 // buildPlatform creates the components that need the platform, if one is set.
 func (d *Daemon) buildPlatform(source teaseltack.RandSource) {
 	if d.settings.PlatformAddress == "" {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"teaseltack/core/picker"
 	"teaseltack/core/seeds"
 	"teaseltack/core/ticket"
+	"teaseltack/core/usage"
 	"teaseltack/core/watch"
 	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
 	"teaseltack/io/clock"
@@ -79,6 +80,8 @@
 	metrics  *metric.Metrics
 
 	listeners listeners
+	// memory bounds what requests hold, at all listeners together.
+	memory *usage.Limiter
 	// started is set once the outer listener serves requests.
 	started atomic.Bool
 	// ready is the state that /readyz reports.
@@ -108,6 +111,7 @@
 // New returns a daemon with open listeners. Run starts it.
 func New(settings *config.Settings, log hclog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: settings, log: log, timers: clock.Clock{}}
+	d.memory = usage.New(usage.Memory(d.timers, settings.MaxRequestBytes))
 	if err := d.openListeners(); err != nil {
 		d.closeListeners()
 		return nil, err
--- a/io/daemon/listeners.go
+++ b/io/daemon/listeners.go
@@ -9,6 +9,7 @@
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
 	"teaseltack/io/auth"
+	"teaseltack/io/config"
 	"teaseltack/io/edge"
 	"teaseltack/io/httpd"
 	"teaseltack/io/metric"
@@ -27,7 +28,7 @@
 			return nil
 		}
 		var server *httpd.Server
-		server, err = httpd.Listen(httpd.Config{Name: name, Address: address, MaxConnections: maxConnections})
+		server, err = httpd.Listen(httpd.Config{Name: name, Address: address, MaxConnections: maxConnections, Memory: d.memory})
 		return server
 	}
 	d.listeners.outer = open("outer listener", s.OuterAddress, int(s.MaxCallers))
@@ -49,7 +50,7 @@
 	peers := http.NewServeMux()
 	peers.Handle(peerv1connect.NewPeerServiceHandler(
 		peer.New(peer.Config{Timers: d.timers, Host: teaseltack.HostID(s.Host), Home: d.home, Gossiper: d.gossiper, Members: d.members, Holder: d.holder}),
-		connect.WithReadMaxBytes(int(s.MaxBodyBytes)+messageOverhead),
+		connect.WithReadMaxBytes(int(s.MaxBodyBytes)+config.MessageOverhead),
 	))
 	d.listeners.peer.Handle(auth.Key(s.PeerKey).Wrap(peers))
 	d.listeners.operator.Handle(d.operatorHandler())
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -3,10 +3,12 @@
 package edge
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -15,6 +17,8 @@
 
 	"teaseltack"
 	"teaseltack/core/entry"
+	"teaseltack/core/usage"
+	"teaseltack/io/body"
 	"teaseltack/io/header"
 )
 
@@ -26,6 +30,9 @@
 	maxLifetimeMs = 600_000
 	// maxAnnouncementBytes bounds the announcement of a backend server.
 	maxAnnouncementBytes = 64 << 10
+	// encodedCopies is the number of copies of a body that are made to send it to another
+	// host.
+	encodedCopies = 1
 	// maxAttempt bounds the attempt and retry numbers that a caller may send.
 	maxAttempt = 1000
 	// maxNameBytes bounds the length of ids and keys from callers.
@@ -269,16 +276,32 @@
 	}
 	controller := http.NewResponseController(c.Response().Writer)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, r.Body, h.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge, teaseltack.Refuse(teaseltack.ReasonTooLarge, "the body is larger than %d bytes", h.cfg.MaxBodyBytes)
-	}
+	memory := usage.FromContext(r.Context())
+	received, err := body.Receiver{Limit: h.cfg.MaxBodyBytes, Holder: memory, Overhead: encodedCopies}.Receive(r.Body, r.ContentLength)
 	if err != nil {
-		return nil, http.StatusBadRequest, teaseltack.Refuse(teaseltack.ReasonBadRequest, "reading the body failed: %v", err)
+		// The rest of the body is not read.
+		c.Response().Header().Set("Connection", "close")
+		status, refusal := refusalOf(err)
+		return nil, status, refusal
 	}
+	memory.Complete()
 	_ = controller.SetReadDeadline(time.Time{})
-	return body, 0, nil
+	return received, 0, nil
+}
+
+// refusalOf returns the refusal of a request whose body was not received.
+func refusalOf(err error) (status int, refusal *teaseltack.Refusal) {
+	switch {
+	case errors.Is(err, usage.ErrFull):
+		refusal = teaseltack.Refuse(teaseltack.ReasonOverload, "too many requests are being received: %v", err)
+		refusal.RetryAfter = usage.RetryAfter
+		return http.StatusServiceUnavailable, refusal
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, teaseltack.Refuse(teaseltack.ReasonBadRequest, "the body was not received in time, or stalled and made room for others")
+	case errors.Is(err, body.ErrTooLarge), errors.Is(err, usage.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge, teaseltack.Refuse(teaseltack.ReasonTooLarge, "%v", err)
+	}
+	return http.StatusBadRequest, teaseltack.Refuse(teaseltack.ReasonBadRequest, "reading the body failed: %v", err)
 }
 
 type ticketsBody struct {
@@ -311,7 +334,12 @@
 func (h *Handler) announce(c echo.Context) error {
 	var announcement Announcement
 	r := c.Request()
-	r.Body = http.MaxBytesReader(c.Response().Writer, r.Body, maxAnnouncementBytes)
+	text, err := body.Receiver{Limit: maxAnnouncementBytes, Holder: usage.FromContext(r.Context())}.Receive(r.Body, r.ContentLength)
+	if err != nil {
+		c.Response().Header().Set("Connection", "close")
+		return h.writeRefusal(c, http.StatusBadRequest, teaseltack.Refuse(teaseltack.ReasonBadRequest, "invalid announcement: %v", err))
+	}
+	r.Body = io.NopCloser(bytes.NewReader(text))
 	if err := c.Bind(&announcement); err != nil {
 		return h.writeRefusal(c, http.StatusBadRequest, teaseltack.Refuse(teaseltack.ReasonBadRequest, "invalid announcement: %v", err))
 	}
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"teaseltack/core/picker"
 	"teaseltack/core/scope"
 	"teaseltack/core/ticket"
+	"teaseltack/core/usage"
 	"teaseltack/io/clock"
 	"teaseltack/io/edge"
 	"teaseltack/io/random"
@@ -151,3 +152,35 @@
 	assert.Equal(t, post(strings.Repeat("x", 1<<20)), http.StatusBadRequest)
 	assert.Equal(t, announced, 1)
 }
+
+// Guards against a refusal for lack of memory that does not say that nothing has run.
+func TestARequestWithoutMemoryHasNotRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		held int64
+		size int
+		want int
+	}{
+		"beside others": {held: 100, size: 10, want: http.StatusServiceUnavailable},
+		"alone":         {held: 0, size: 100, want: http.StatusRequestEntityTooLarge},
+		"with enough":   {held: 0, size: 10, want: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := usage.New(usage.Config{Timers: clock.Clock{}, Limit: 110})
+			other := memory.Enter(func() {})
+			other.Complete()
+			assert.NilError(t, other.Take(test.held))
+			server := &echoServer{}
+			handler := newServer(t, server).Config.Handler
+			request := httptest.NewRequest(http.MethodPost, "/till/post", strings.NewReader(strings.Repeat("x", test.size)))
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, request.WithContext(usage.NewContext(request.Context(), memory.Enter(func() {}))))
+			assert.Equal(t, recorder.Code, test.want, recorder.Body.String())
+			if test.want == http.StatusOK {
+				return
+			}
+			assert.Equal(t, recorder.Header().Get("Teaseltack-Verdict"), "not-run")
+			assert.Equal(t, test.want == http.StatusServiceUnavailable, recorder.Header().Get("Teaseltack-Retry-After-Ms") != "")
+			assert.Equal(t, server.calls, 0)
+		})
+	}
+}
