Bound the memory of messages between stand-alone daemons

What callers saw: 24 clients of the peer listener, each with a message of 8 MiB, made a stand-alone daemon hold 538 to 691 MiB, up to 28 MiB for each.

Cause: connect reads a message into a buffer that doubles and decodes it into a copy; each was bounded, all together were not. Buffers of up to 8 MiB were kept for reuse. Compressed messages and those of empty fields take many times their size.

Evidence: TestACrowdOfBodiesFitsTheMemory/stand-alone/peer failed in all six shapes before.

Fix: the peer and the operator listener receive messages through io/rpc, as the metrics listener on the platform does: whole and within the memory of their request, before connect's handler gets them. A message without memory gets resource_exhausted, which a daemon sends only before it runs anything, so that the entry takes it as not-run with a time to retry after.

--- a/io/daemon/listeners.go
+++ b/io/daemon/listeners.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 
-	"connectrpc.com/connect"
-
 	"teaseltack"
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
@@ -16,6 +14,7 @@
 	"teaseltack/io/oper"
 	"teaseltack/io/peer"
 	"teaseltack/io/random"
+	"teaseltack/io/rpc"
 )
 
 // openListeners listens on the four addresses. The handlers are set later, in
@@ -47,27 +46,29 @@
 	d.listeners.inner.Handle(edge.New(edge.Config{
 		Timers: d.timers, Rand: source, Entry: d.entry, Log: d.log.Named("inner"), MaxBodyBytes: s.MaxBodyBytes, Announce: d.announce,
 	}))
+	bound := rpc.Bound{MaxBytes: int(s.MaxBodyBytes) + config.MessageOverhead}
 	peers := http.NewServeMux()
 	peers.Handle(peerv1connect.NewPeerServiceHandler(
 		peer.New(peer.Config{Timers: d.timers, Host: teaseltack.HostID(s.Host), Home: d.home, Gossiper: d.gossiper, Members: d.members, Holder: d.holder}),
-		connect.WithReadMaxBytes(int(s.MaxBodyBytes)+config.MessageOverhead),
+		bound.Options(),
 	))
-	d.listeners.peer.Handle(auth.Key(s.PeerKey).Wrap(peers))
+	d.listeners.peer.Handle(auth.Key(s.PeerKey).Wrap(bound.Wrap(peers)))
 	d.listeners.operator.Handle(d.operatorHandler())
 }
 
 func (d *Daemon) operatorHandler() http.Handler {
 	const maxChangeBytes = 1 << 20
+	bound := rpc.Bound{MaxBytes: maxChangeBytes}
 	operators := http.NewServeMux()
 	operators.Handle(operatorv1connect.NewOperatorServiceHandler(
 		oper.New(oper.Config{
 			Log: d.log.Named("operator"), Editor: d.editor, Watcher: d.watcher,
 			Holder: d.holder, Members: d.members, Gossiper: d.gossiper, Picker: d.picker,
 		}),
-		connect.WithReadMaxBytes(maxChangeBytes),
+		bound.Options(),
 	))
 	mux := http.NewServeMux()
-	mux.Handle("/", auth.Key(d.settings.OperatorKey).Wrap(operators))
+	mux.Handle("/", auth.Key(d.settings.OperatorKey).Wrap(bound.Wrap(operators)))
 	mux.Handle("/metrics", d.metrics.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("/readyz", d.handleReady)
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -13,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	operatorv1 "teaseltack/gen/teaseltack/operator/v1"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
@@ -103,6 +104,11 @@
 	if ctx.Err() != nil {
 		return teaseltack.Uncertain(teaseltack.ReasonLifetime, "no answer from host %s before the deadline passed or the caller disconnected", to.Host)
 	}
+	if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeResourceExhausted {
+		refusal := teaseltack.Refuse(teaseltack.ReasonOverload, "host %s has no memory for the call: %v", to.Host, err)
+		refusal.RetryAfter = usage.RetryAfter
+		return refusal
+	}
 	if rejected(err) {
 		return teaseltack.Refuse(teaseltack.ReasonBadRequest, "host %s refused the call: %v", to.Host, err)
 	}
--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
 	"teaseltack/io/auth"
@@ -214,6 +215,9 @@
 			w.WriteHeader(http.StatusBadRequest)
 			_, _ = w.Write([]byte("{"))
 		}, teaseltack.MayHaveRun},
+		"no memory for the call": {func(w http.ResponseWriter, r *http.Request) {
+			_ = connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeResourceExhausted, usage.ErrFull))
+		}, teaseltack.NotRun},
 		"rejected call": {func(w http.ResponseWriter, r *http.Request) {
 			_ = connect.NewErrorWriter().Write(w, r, connect.NewError(connect.CodeInvalidArgument, errors.New("nonce is empty")))
 		}, teaseltack.NotRun},
