Bound the connections of stand-alone daemons by their descriptors

What callers saw: 300 connections that sent nothing, or half a head, took all 256 descriptors of a stand-alone daemon, at any of its four listeners. While they stayed, up to 5 s here, no caller could connect, and the daemon could not connect to its server or to others; clients that connect again keep it so.

Cause: only the outer listener had a bound, max-callers, which does not know how many descriptors the process may open; beyond it, the newest connections were closed and the silent ones stayed.

Fix: each listener has a share of the descriptors, which leaves an eighth or more for the daemon itself. At its limit, a listener closes the connection without a request in progress that has stalled for longest, if for a second at least, and otherwise the new one. core/usage decides it, as it does for memory. An open connection also counts 16 KiB of the requests' memory.

--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// ConnectionBytes is the memory in bytes that an open connection takes beside its requests:
+// a goroutine, its buffers and the kernel's record of it.
+const ConnectionBytes = 16 << 10
+
+// Connections returns the configuration of a limiter of open connections, each of which
+// holds 1. A connection without a request in progress stalls as a request does.
+func Connections(timers teaseltack.Timers, limit int64) Config {
+	return Config{Timers: timers, Limit: limit, Patience: patience, MinProgress: minBytes}
+}
+
 // freeAnswerBytes is the size in bytes up to which an answer is read whatever the other
 // answers hold, so that answers of usual size never wait for or fail beside large ones.
 const freeAnswerBytes = 64 << 10
--- a/io/daemon/listeners.go
+++ b/io/daemon/listeners.go
@@ -4,10 +4,12 @@
 	"net/http"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/gen/teaseltack/peer/v1/peerv1connect"
 	"teaseltack/io/auth"
 	"teaseltack/io/config"
+	"teaseltack/io/descr"
 	"teaseltack/io/edge"
 	"teaseltack/io/httpd"
 	"teaseltack/io/metric"
@@ -21,19 +23,22 @@
 // handle, since the components behind them need the listeners' addresses.
 func (d *Daemon) openListeners() error {
 	s := d.settings
+	descriptors := descr.OfProcess()
 	var err error
-	open := func(name, address string, maxConnections int) *httpd.Server {
+	open := func(name, address string, maxConnections int64) *httpd.Server {
 		if err != nil {
 			return nil
 		}
 		var server *httpd.Server
-		server, err = httpd.Listen(httpd.Config{Name: name, Address: address, MaxConnections: maxConnections, Memory: d.memory})
+		server, err = httpd.Listen(httpd.Config{
+			Name: name, Address: address, Connections: usage.New(usage.Connections(d.timers, maxConnections)), Memory: d.memory,
+		})
 		return server
 	}
-	d.listeners.outer = open("outer listener", s.OuterAddress, int(s.MaxCallers))
-	d.listeners.inner = open("inner listener", s.InnerAddress, 0)
-	d.listeners.peer = open("peer listener", s.PeerAddress, 0)
-	d.listeners.operator = open("operator listener", s.OperatorAddress, 0)
+	d.listeners.outer = open("outer listener", s.OuterAddress, min(s.MaxCallers, descriptors.Outer()))
+	d.listeners.inner = open("inner listener", s.InnerAddress, descriptors.Inner())
+	d.listeners.peer = open("peer listener", s.PeerAddress, descriptors.Peer())
+	d.listeners.operator = open("operator listener", s.OperatorAddress, descriptors.Operator())
 	return err
 }
 
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -21,7 +21,8 @@
 // begins, which is the head of that request.
 type conn struct {
 	net.Conn
-	memory *usage.Holder
+	// slot is the connection's place among those of its listener.
+	slot, memory *usage.Holder
 
 	mu sync.Mutex
 	// headBytes is what is counted for the head that is being read.
@@ -31,6 +32,17 @@
 	http2    bool
 }
 
+// newConn returns a connection with a place and memory of its own.
+func newConn(nc net.Conn, connections, memory *usage.Limiter) (*conn, error) {
+	evict := func() { _ = nc.Close() }
+	c := &conn{Conn: nc, slot: connections.Enter(evict), memory: memory.Enter(evict)}
+	err := c.slot.Take(1)
+	if err == nil {
+		err = c.memory.Take(usage.ConnectionBytes)
+	}
+	return c, err
+}
+
 type connKey struct{}
 
 // withConn is the ConnContext of a server.
@@ -46,6 +58,8 @@
 // Read reads from the connection. It fails if there is no memory for the head.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.slot.Progress(int64(n))
+	c.memory.Progress(int64(n))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 || c.requests > 0 || c.http2 {
@@ -56,7 +70,6 @@
 		return 0, fmt.Errorf("reading the head of a request: %w", takeErr)
 	}
 	c.headBytes += size
-	c.memory.Progress(int64(n))
 	return n, err
 }
 
@@ -65,6 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	c.slot.Complete()
 	c.memory.Complete()
 	c.memory.Give(c.headBytes)
 	c.headBytes = 0
@@ -79,12 +93,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requests--; c.requests == 0 {
+		c.slot.Receive()
 		c.memory.Receive()
 	}
 }
 
-// Close closes the connection and gives its memory back.
+// Close closes the connection and gives its place and its memory back.
 func (c *conn) Close() error {
+	c.slot.Release()
 	c.memory.Release()
 	return c.Conn.Close()
 }
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -30,8 +30,8 @@
 	// Name names the listener in errors, as in "outer listener".
 	Name    string
 	Address string
-	// MaxConnections bounds the open connections; 0 means unlimited.
-	MaxConnections int
+	// Connections bounds the open connections; nil bounds nothing.
+	Connections *usage.Limiter
 	// Memory bounds what all requests hold in bytes, from their heads to their answers. It
 	// may be shared among servers; nil bounds nothing.
 	Memory *usage.Limiter
@@ -53,9 +53,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("opening the %s: %w", cfg.Name, err)
 	}
-	if cfg.MaxConnections > 0 {
-		listener = &boundedListener{Listener: listener, maxOpen: int64(cfg.MaxConnections)}
-	}
 	return New(cfg, listener), nil
 }
 
@@ -64,7 +61,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	counting := &countingListener{Listener: listener, memory: cfg.Memory}
+	counting := &countingListener{Listener: listener, connections: cfg.Connections, memory: cfg.Memory}
 	return &Server{name: cfg.Name, memory: cfg.Memory, listener: counting, server: &http.Server{
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -185,55 +182,23 @@
 	return s.server.Close()
 }
 
-// countingListener counts what its connections read.
+// countingListener counts its connections and what they read.
 type countingListener struct {
 	net.Listener
-	memory *usage.Limiter
+	connections, memory *usage.Limiter
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection that finds room, and closes the others.
 func (l *countingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: accepted}
-	c.memory = l.memory.Enter(func() { _ = accepted.Close() })
-	return c, nil
-}
-
-// boundedListener closes connections beyond maxOpen immediately after accepting them.
-type boundedListener struct {
-	net.Listener
-	maxOpen int64
-	open    atomic.Int64
-}
-
-// Accept returns the next connection that does not exceed maxOpen.
-func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		accepted, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.maxOpen {
-			return &countedConn{Conn: conn, open: &l.open}, nil
+		c, err := newConn(accepted, l.connections, l.memory)
+		if err == nil {
+			return c, nil
 		}
-		l.open.Add(-1)
-		_ = conn.Close()
-	}
-}
-
-type countedConn struct {
-	net.Conn
-	open   *atomic.Int64
-	closed atomic.Bool
-}
-
-// Close closes the connection; repeated calls decrement the count only once.
-func (c *countedConn) Close() error {
-	if !c.closed.Swap(true) {
-		c.open.Add(-1)
+		_ = c.Close()
 	}
-	return c.Conn.Close()
 }
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -83,7 +83,10 @@
 	}
 }
 
-func isNothing(held int64) bool { return held == 0 }
+// isOpen returns whether what is held is only the given number of connections.
+func isOpen(connections int64) func(held int64) bool {
+	return func(held int64) bool { return held == connections*usage.ConnectionBytes }
+}
 
 func isBody(held int64) bool { return held >= bodyBytes }
 
@@ -102,7 +105,7 @@
 		checkStatus(t, thirdAnswers, http.StatusOK)
 		send(t, first, "x")
 		checkStatus(t, firstAnswers, http.StatusOK)
-		awaitHeld(t, memory, isNothing)
+		awaitHeld(t, memory, isOpen(2))
 	})
 	t.Run("one that stalls makes room", func(t *testing.T) {
 		address, memory := serve(t, 0)
@@ -113,7 +116,7 @@
 		send(t, other, post(bodyBytes)+full)
 		checkStatus(t, otherAnswers, http.StatusOK)
 		checkStatus(t, stalledAnswers, http.StatusServiceUnavailable)
-		awaitHeld(t, memory, isNothing)
+		awaitHeld(t, memory, isOpen(1))
 	})
 	t.Run("one whose caller leaves gives its memory back", func(t *testing.T) {
 		address, memory := serve(t, time.Hour)
@@ -121,7 +124,7 @@
 		send(t, conn, post(bodyBytes))
 		awaitHeld(t, memory, isBody)
 		_ = conn.Close()
-		awaitHeld(t, memory, isNothing)
+		awaitHeld(t, memory, isOpen(0))
 	})
 	t.Run("also in HTTP/2", func(t *testing.T) {
 		address, memory := serve(t, time.Hour)
@@ -139,7 +142,41 @@
 			assert.Equal(t, string(text), fmt.Sprint(size))
 		}
 		transport.CloseIdleConnections()
-		awaitHeld(t, memory, isNothing)
+		awaitHeld(t, memory, isOpen(0))
+	})
+}
+
+// Guards against connections that send nothing and keep others out.
+func TestConnectionsShareTheLimit(t *testing.T) {
+	const limit = 4
+	listen := func(t *testing.T, patience time.Duration) string {
+		connections := usage.New(usage.Config{Timers: clock.Clock{}, Limit: limit, Patience: patience, MinProgress: 1})
+		server, err := httpd.Listen(httpd.Config{Name: "listener", Address: "127.0.0.1:0", Connections: connections})
+		assert.NilError(t, err)
+		server.Handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		go func() { _ = server.Serve() }()
+		t.Cleanup(func() { _ = server.Close() })
+		return server.Address()
+	}
+	t.Run("those that stall make room", func(t *testing.T) {
+		address := listen(t, 0)
+		for range 3 * limit {
+			dial(t, address)
+		}
+		conn, answers := dial(t, address)
+		send(t, conn, post(0))
+		checkStatus(t, answers, http.StatusOK)
+	})
+	t.Run("others are closed", func(t *testing.T) {
+		address := listen(t, time.Hour)
+		for range limit {
+			conn, answers := dial(t, address)
+			send(t, conn, post(0))
+			checkStatus(t, answers, http.StatusOK)
+		}
+		_, answers := dial(t, address)
+		_, err := answers.ReadByte()
+		assert.Assert(t, err != nil)
 	})
 }
 
@@ -167,6 +204,6 @@
 			send(t, conn, post(1)+"x")
 			checkStatus(t, answers, http.StatusOK)
 		}
-		awaitHeld(t, memory, isNothing)
+		awaitHeld(t, memory, isOpen(1))
 	})
 }
