Bound the connections of daemons on the platform by their descriptors

What callers saw: 300 connections that sent nothing, or half a head, took all 256 descriptors of a daemon on the platform, at any of its five listeners. At the outer listener callers waited for 13 to 15 s, at those for readiness and announcements for 13 to 60 s, and behind a crowd at the peer listener no request was answered for as long as it stayed.

Cause: io/http1 and io/link accepted every connection, and the peer listener has no time limit for the first frame.

Ruled out: the time limits of heads and idle connections, which only end what nobody opens again.

Fix: as in stand-alone mode. The new setting max-descriptors is rendered from the platform's limit; without it the limit of the process counts. Links with calls in progress and connections with pending requests are never closed for others. A connection counts 16 KiB of the requests' memory.

--- a/io/config/sidecar.go
+++ b/io/config/sidecar.go
@@ -26,6 +26,9 @@
 	MetricsPort     int64  `json:"metrics-port"`
 	PlatformAddress string `json:"platform-address"`
 	MemoryMB        int64  `json:"memory-mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 stands for
+	// the limit that the system has set.
+	MaxDescriptors int64 `json:"max-descriptors"`
 	// HeartbeatS is the period of the server's heartbeats in seconds.
 	HeartbeatS float64 `json:"heartbeat-s"`
 	// GraceS is the time in seconds between the stop signal and the kill.
@@ -105,6 +108,7 @@
 		{"max-body-bytes", float64(s.MaxBodyBytes), 1024, 1 << 30},
 		{"max-remembered", float64(s.MaxRemembered), 100, 10_000_000},
 		{"memory-mb", float64(s.MemoryMB), 16, 1 << 20},
+		{"max-descriptors", float64(s.MaxDescriptors), 0, 1 << 30},
 	} {
 		if n.value < n.minimum || n.value > n.maximum {
 			p.addKeyError(n.key, "is %v, allowed is %v to %v", n.value, n.minimum, n.maximum)
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -35,10 +35,11 @@
 	server *Server
 	nc     net.Conn
 	reader *head.Reader
-	// buffer holds what the reader's buffer has grown by.
-	buffer *usage.Holder
-	ctx    context.Context
-	cancel context.CancelFunc
+	// slot is the connection's place among those of the server. memory is what it holds
+	// beside its requests.
+	slot, memory *usage.Holder
+	ctx          context.Context
+	cancel       context.CancelFunc
 
 	mu sync.Mutex
 	// pending holds the requests without a complete answer in order of arrival. Those
@@ -70,13 +71,39 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, reader: head.NewReader(nc, readBuffer)}
-	c.buffer = s.cfg.Memory.Enter(c.evict)
+	c := &conn{server: s, nc: nc}
+	c.reader = head.NewReader(source{c}, readBuffer)
+	c.slot = s.cfg.Connections.Enter(c.evictIdle)
+	c.memory = s.cfg.Memory.Enter(c.evictIdle)
 	c.pendingChanged = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// enter reports whether there is room for the connection.
+func (c *conn) enter() bool {
+	return c.slot.Take(1) == nil && c.memory.Take(usage.ConnectionBytes) == nil
+}
+
+// leave gives the connection's place and memory back.
+func (c *conn) leave() {
+	c.slot.Release()
+	c.memory.Release()
+}
+
+// source reads from a connection and counts it as progress.
+type source struct {
+	conn *conn
+}
+
+// Read reads what the caller sends.
+func (s source) Read(p []byte) (int, error) {
+	n, err := s.conn.nc.Read(p)
+	s.conn.slot.Progress(int64(n))
+	s.conn.memory.Progress(int64(n))
+	return n, err
+}
+
 func (c *conn) pendingCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -112,7 +139,7 @@
 // serve reads requests until the caller closes the connection.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
-	defer c.buffer.Release()
+	defer c.leave()
 	defer c.close()
 	for {
 		request, closing, err := c.read()
@@ -150,6 +177,7 @@
 	c.mu.Lock()
 	c.discarding, c.evicted = true, false
 	c.mu.Unlock()
+	c.reader = head.NewReader(source{c}, readBuffer)
 	c.setReadDeadline(time.Time{})
 	for {
 		_, err := c.reader.Peek(1)
@@ -174,6 +202,8 @@
 		return false
 	}
 	c.pending = append(c.pending, p)
+	c.slot.Complete()
+	c.memory.Complete()
 	return true
 }
 
@@ -216,6 +246,10 @@
 		c.writing = false
 		c.pending = c.pending[count:]
 		c.afterWrite(last, err)
+		if len(c.pending) == 0 {
+			c.slot.Receive()
+			c.memory.Receive()
+		}
 		c.pendingChanged.Broadcast()
 	}
 }
@@ -299,6 +333,13 @@
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 }
 
+// evictIdle closes the connection unless it has pending requests.
+func (c *conn) evictIdle() {
+	if c.pendingCount() == 0 {
+		c.close()
+	}
+}
+
 // endEviction reports whether the connection was evicted and lets it read again.
 func (c *conn) endEviction() bool {
 	c.mu.Lock()
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -57,6 +57,8 @@
 	// Memory bounds what all requests hold in bytes, from their heads to their answers. It
 	// may be shared among servers; nil bounds nothing.
 	Memory *usage.Limiter
+	// Connections bounds the open connections; nil bounds nothing.
+	Connections *usage.Limiter
 	// OnMalformed is called for a request that is refused without calling Handle, on
 	// the goroutine that reads the connection; it may be nil.
 	OnMalformed func(err error)
@@ -87,6 +89,11 @@
 			continue
 		}
 		c := newConn(s, nc)
+		if !c.enter() {
+			c.close()
+			c.leave()
+			continue
+		}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
--- a/io/http1/read.go
+++ b/io/http1/read.go
@@ -48,6 +48,8 @@
 	}
 	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	memory := c.server.cfg.Memory.Enter(c.evict)
+	// Until the request is answered, the connection makes no room by itself.
+	c.memory.Complete()
 	request, closing, err := c.readRequest(limits, memory)
 	c.shrinkBuffer()
 	if err != nil {
@@ -75,7 +77,12 @@
 }
 
 func (c *conn) readRequest(limits Limits, memory *usage.Holder) (*Request, bool, error) {
-	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), c.growBuffer)
+	grow := func(size int) error { return memory.Take(int64(size)) }
+	// The buffer may have grown for the request before.
+	if err := grow(c.reader.Size() - readBuffer); err != nil {
+		return nil, false, err
+	}
+	requestHead, err := c.reader.PeekHead(limits.HeaderBytes+len("\r\n\r\n"), grow)
 	if errors.Is(err, head.ErrTooLarge) {
 		return nil, false, newMalformed(http.StatusRequestHeaderFieldsTooLarge, "the head has over %d bytes", limits.HeaderBytes)
 	}
@@ -96,20 +103,11 @@
 	return request, parsed.Close, err
 }
 
-// growBuffer takes the memory for a read buffer of the size.
-func (c *conn) growBuffer(size int) error {
-	return c.buffer.Take(int64(size))
-}
-
 // shrinkBuffer replaces a buffer that has grown once all of its bytes are read.
 func (c *conn) shrinkBuffer() {
-	if c.reader.Size() == readBuffer || c.reader.Buffered() > 0 {
-		return
-	}
-	for size := 2 * readBuffer; size <= c.reader.Size(); size *= 2 {
-		c.buffer.Give(int64(size))
+	if c.reader.Size() > readBuffer && c.reader.Buffered() == 0 {
+		c.reader = head.NewReader(source{c}, readBuffer)
 	}
-	c.reader = head.NewReader(c.nc, readBuffer)
 }
 
 // asMalformed turns the errors of a connection that was evicted, and those of the limiter,
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -45,6 +45,9 @@
 	nc    net.Conn
 	// peer is the host that was dialled; nil if the other host dialled.
 	peer *peer
+	// slot is the connection's place among those that other hosts dialled, memory what it
+	// holds beside its calls. Both are nil for one that was dialled here.
+	slot, memory *usage.Holder
 	// lastNumber is the number of the last call that was sent.
 	lastNumber atomic.Uint64
 	// lastReceived is when the last frame was received, in Unix nanoseconds.
@@ -114,9 +117,27 @@
 func newConn(l *Links, nc net.Conn, p *peer) *conn {
 	c := &conn{links: l, nc: nc, peer: p, outgoing: map[uint64]*outgoingCall{}, incoming: map[uint64]context.CancelFunc{}, unconfirmed: map[uint64]chan struct{}{}}
 	c.markReceived()
+	if p == nil {
+		c.slot, c.memory = l.cfg.Connections.Enter(c.evictIdle), l.cfg.CallMemory.Enter(c.evictIdle)
+	}
 	return c
 }
 
+// enter reports whether there is room for the connection.
+func (c *conn) enter() bool {
+	return c.slot.Take(1) == nil && c.memory.Take(usage.ConnectionBytes) == nil
+}
+
+// evictIdle closes the connection unless it has calls of its peer.
+func (c *conn) evictIdle() {
+	c.mu.Lock()
+	calls := len(c.incoming)
+	c.mu.Unlock()
+	if calls == 0 {
+		c.close(errNoRoom)
+	}
+}
+
 func (c *conn) markReceived() {
 	c.lastReceived.Store(c.links.cfg.Timers.Now().UnixNano())
 }
@@ -344,6 +365,8 @@
 		return
 	}
 	c.incoming[number] = cancel
+	c.slot.Complete()
+	c.memory.Complete()
 	c.mu.Unlock()
 	release = func() {}
 	go func() {
@@ -352,6 +375,10 @@
 		c.sendAnswer(number, answer)
 		c.mu.Lock()
 		delete(c.incoming, number)
+		if len(c.incoming) == 0 && !c.closed {
+			c.slot.Receive()
+			c.memory.Receive()
+		}
 		c.mu.Unlock()
 		cancel()
 	}()
@@ -391,6 +418,8 @@
 	c.outgoing, c.incoming = map[uint64]*outgoingCall{}, map[uint64]context.CancelFunc{}
 	c.mu.Unlock()
 	_ = c.nc.Close()
+	c.slot.Release()
+	c.memory.Release()
 	for _, cancel := range incoming {
 		cancel()
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -43,6 +43,10 @@
 // longer in the membership.
 var errUnknownHost = errors.New("the host is no longer in the membership")
 
+// errNoRoom is the cause of closing a connection that another host dialled, while it has
+// no calls, because of the limits on connections and memory.
+var errNoRoom = errors.New("too many connections")
+
 // errAddressChanged is the cause of closing the connection to an earlier address of a
 // host.
 var errAddressChanged = errors.New("the host has another address")
@@ -59,6 +63,8 @@
 	// CallMemory bounds what the calls of other hosts hold, AnswerMemory the answers that
 	// are being read; nil bounds nothing.
 	CallMemory, AnswerMemory *usage.Limiter
+	// Connections bounds the connections that other hosts dial; nil bounds nothing.
+	Connections *usage.Limiter
 	// Current returns the generation and the document of the configuration in force.
 	Current func() (teaseltack.Generation, []byte)
 	// OnConfig is called when another host sends a newer configuration, on the
@@ -120,6 +126,10 @@
 			continue
 		}
 		c := newConn(l, nc, nil)
+		if !c.enter() {
+			c.close(errNoRoom)
+			continue
+		}
 		l.mu.Lock()
 		closed := l.closed
 		l.incoming[c] = true
--- a/io/link/receive.go
+++ b/io/link/receive.go
@@ -72,6 +72,8 @@
 	if err != nil || r.refused != nil {
 		memory.Release()
 	}
+	c.slot.Progress(int64(size))
+	c.memory.Progress(int64(size))
 	return r, err
 }
 
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"teaseltack"
+	"teaseltack/core/usage"
 	"teaseltack/gen/teaseltack/operator/v1/operatorv1connect"
 	"teaseltack/io/config"
+	"teaseltack/io/descr"
 	"teaseltack/io/http1"
 	"teaseltack/io/httpd"
 	"teaseltack/io/metric"
@@ -57,21 +59,35 @@
 // createServers creates the servers of the listeners; Run starts them.
 func (s *Sidecar) createServers(l *listeners) {
 	s.listeners = l
-	s.outerServer = http1.New(http1.Config{Listener: l.outer, Memory: s.memory, Handle: s.handle, Limits: s.limits, OnMalformed: s.onMalformed})
-	s.readinessServer = http1.New(http1.Config{Listener: l.ready, Memory: s.memory, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
+	descriptors := s.descriptors()
+	s.outerServer = http1.New(http1.Config{Listener: l.outer, Memory: s.memory, Connections: s.connections(descriptors.Outer()), Handle: s.handle, Limits: s.limits, OnMalformed: s.onMalformed})
+	s.readinessServer = http1.New(http1.Config{Listener: l.ready, Memory: s.memory, Connections: s.connections(descriptors.Operator()), Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
 		return platform.ServeReadiness(s.isReady(), r)
 	}})
-	s.announceServer = http1.New(http1.Config{Listener: l.announce, Memory: s.memory, Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
+	s.announceServer = http1.New(http1.Config{Listener: l.announce, Memory: s.memory, Connections: s.connections(descriptors.Operator()), Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
 		return platform.ServeAnnouncement(s, r)
 	}})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	bound := rpc.Bound{MaxBytes: maxOperatorMessage}
 	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operatorService{side: s}, bound.Options()))
-	s.metricsServer = httpd.New(httpd.Config{Name: "metrics listener", Memory: s.memory}, l.metrics)
+	s.metricsServer = httpd.New(httpd.Config{Name: "metrics listener", Memory: s.memory, Connections: s.connections(descriptors.Operator())}, l.metrics)
 	s.metricsServer.Handle(bound.Wrap(mux))
 }
 
+// descriptors returns the descriptors that the process may open.
+func (s *Sidecar) descriptors() descr.Limit {
+	if s.settings.MaxDescriptors > 0 {
+		return descr.Limit(s.settings.MaxDescriptors)
+	}
+	return descr.OfProcess()
+}
+
+// connections returns a limiter of a listener's connections.
+func (s *Sidecar) connections(limit int64) *usage.Limiter {
+	return usage.New(usage.Connections(s.timers, limit))
+}
+
 // maxOperatorMessage bounds the messages of operators in bytes, which have few fields.
 const maxOperatorMessage = 64 << 10
 
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -205,7 +205,7 @@
 		},
 	})
 	s.links = link.New(link.Config{
-		Timers: s.timers, Host: host, Serve: s.home.Serve, CallMemory: s.memory, AnswerMemory: answers,
+		Timers: s.timers, Host: host, Serve: s.home.Serve, CallMemory: s.memory, AnswerMemory: answers, Connections: s.connections(s.descriptors().Peer()),
 		Current: s.follower.Current, OnConfig: s.follower.Adopt, Records: s.roster.Records, OnRecords: s.roster.AddKnown,
 		OnReachability: s.onReachability, MayBeStale: s.follower.MayBeStale,
 	})
