Serve the largest body in chunks on the smallest host

A body in chunks was held twice while its buffer doubled: 96 MiB for the 64 MiB that the platform's pages allow. On hosts of 184 MB, where requests hold up to 92 MiB, it would have got 413 in calm since requests are counted.

Cause: found by reading, when the memory of the large deployment's hosts was looked up; the test knew hosts of 284 MB only.

Fix: the buffer grows four times at once, which holds 80 MiB at most.

TestTheLargestBodyOnThePlatformFitsTheMemory now runs with both sizes of hosts.

--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -256,43 +256,45 @@
 	}
 }
 
-const (
-	// pagesMemory and pagesBody are the smallest host's memory and the largest body that
-	// the users' platform allows, in bytes.
-	pagesMemory = 284 << 20
-	pagesBody   = 64 << 20
-)
+// pagesBody is the largest body that the users' platform allows, in bytes.
+const pagesBody = 64 << 20
+
+// pagesMemories are the memories of the smallest hosts on the users' platform in bytes.
+var pagesMemories = []int{284 << 20, 184 << 20}
 
 // TestTheLargestBodyOnThePlatformFitsTheMemory guards against copies of a body that do not
 // fit the memory of the smallest host beside it.
 func TestTheLargestBodyOnThePlatformFitsTheMemory(t *testing.T) {
-	for _, place := range []string{"own", "other"} {
-		for _, s := range []shape{whole, pieces, largeChunks, smallChunks} {
-			t.Run(place+"/"+string(s), func(t *testing.T) {
-				store := startStore(t, pagesBody)
-				home := startSidecar(t, sidecarHost{name: "home", service: "shop", store: store, memory: pagesMemory})
-				sites := []*site{home}
-				if place == "other" {
-					sites = append(sites, startSidecar(t, sidecarHost{name: "entry", service: "other", store: store, memory: pagesMemory}))
-				}
-				entry := sites[len(sites)-1]
-				entry.checkOrdinaryCaller(t)
-				var watches []*usageWatch
-				for _, s := range sites {
-					watches = append(watches, s.daemon.watch())
-				}
-				waitUntil(t, "the largest body is served", func() bool { return entry.sendBody(t, entry.outer, s, pagesBody) == http.StatusOK })
-				for i, w := range watches {
-					most := w.stop()
-					t.Logf("daemon %d held %d MiB at most", i, most.memory>>20)
-					assert.Check(t, most.memory <= pagesMemory, "daemon %d held %d bytes, its host has %d", i, most.memory, pagesMemory)
-					sites[i].checkAlive(t)
-				}
-			})
+	for _, memory := range pagesMemories {
+		for _, place := range []string{"own", "other"} {
+			for _, s := range []shape{whole, pieces, largeChunks, smallChunks} {
+				t.Run(fmt.Sprintf("%d/%s/%s", memory>>20, place, s), func(t *testing.T) { checkLargestBodyOnThePlatform(t, memory, place == "other", s) })
+			}
 		}
 	}
 }
 
+func checkLargestBodyOnThePlatform(t *testing.T, memory int, otherEntry bool, s shape) {
+	store := startStore(t, pagesBody)
+	sites := []*site{startSidecar(t, sidecarHost{name: "home", service: "shop", store: store, memory: memory})}
+	if otherEntry {
+		sites = append(sites, startSidecar(t, sidecarHost{name: "entry", service: "other", store: store, memory: memory}))
+	}
+	entry := sites[len(sites)-1]
+	entry.checkOrdinaryCaller(t)
+	var watches []*usageWatch
+	for _, s := range sites {
+		watches = append(watches, s.daemon.watch())
+	}
+	waitUntil(t, "the largest body is served", func() bool { return entry.sendBody(t, entry.outer, s, pagesBody) == http.StatusOK })
+	for i, w := range watches {
+		most := w.stop()
+		t.Logf("daemon %d held %d MiB at most", i, most.memory>>20)
+		assert.Check(t, most.memory <= int64(memory), "daemon %d held %d bytes, its host has %d", i, most.memory, memory)
+		sites[i].checkAlive(t)
+	}
+}
+
 // site is a daemon with a backend server of the service shop.
 type site struct {
 	daemon    *process
--- a/io/body/body.go
+++ b/io/body/body.go
@@ -15,6 +15,9 @@
 const (
 	// firstBuffer is the size in bytes of the first buffer of a body without a length.
 	firstBuffer = 4 << 10
+	// growth is how many times larger the next buffer is. The last two buffers are held
+	// together while the body is copied.
+	growth = 4
 	// reportBytes is how much is received between two reports of progress. The chunks of
 	// a body may be as small as one byte.
 	reportBytes = 4 << 10
@@ -85,7 +88,7 @@
 
 // grow returns a larger buffer with the same content. Both are held while it is copied.
 func (r Receiver) grow(buffer []byte) ([]byte, error) {
-	size := min(max(2*int64(cap(buffer)), firstBuffer), r.Limit)
+	size := min(max(growth*int64(cap(buffer)), firstBuffer), r.Limit)
 	if err := r.take(size); err != nil {
 		return nil, err
 	}
