Let stalled bodies of stand-alone callers give up their connections

A connection kept its place while a body was being received, for up to 20 s: clients that stop within a body of two bytes could still keep others out. The place is now kept once the request is received, as on the platform; TestConnectionsShareTheLimit covers it.

The wrapper of connections also hid CloseWrite from the standard library's server, which then resets a connection with unread bytes and may cut the last answer. The outer listener had this fault before, the others since their connections are counted; the wrapper now passes it on.

--- a/core/usage/holder.go
+++ b/core/usage/holder.go
@@ -24,6 +24,8 @@
 	// progress is what was received since progressAt.
 	progress int64
 	evicted  bool
+	// with is completed with the holder; it may be nil.
+	with *Holder
 }
 
 // Take counts amount more. It returns ErrFull if there is no room, also after those that
@@ -93,8 +95,20 @@
 		return
 	}
 	h.limiter.mu.Lock()
-	defer h.limiter.mu.Unlock()
 	h.leaveReceiving()
+	with := h.with
+	h.limiter.mu.Unlock()
+	with.Complete()
+}
+
+// CompleteWith lets other, of another limiter, be complete once h is.
+func (h *Holder) CompleteWith(other *Holder) {
+	if h == nil {
+		return
+	}
+	h.limiter.mu.Lock()
+	defer h.limiter.mu.Unlock()
+	h.with = other
 }
 
 // Receive marks that the holder receives again.
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -73,12 +73,13 @@
 	return n, err
 }
 
-// begin counts a request as begun, whose head is counted with the request from then on.
-func (c *conn) begin(isHTTP2 bool) error {
+// begin counts a request as begun, whose head is counted with the request from then on. The
+// connection keeps its place once the request is received.
+func (c *conn) begin(request *usage.Holder, isHTTP2 bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
-	c.slot.Complete()
+	request.CompleteWith(c.slot)
 	c.memory.Complete()
 	c.memory.Give(c.headBytes)
 	c.headBytes = 0
@@ -98,6 +99,15 @@
 	}
 }
 
+// CloseWrite closes the connection for writing, so that the last answer reaches a caller
+// that is still sending.
+func (c *conn) CloseWrite() error {
+	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return halfCloser.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection and gives its place and its memory back.
 func (c *conn) Close() error {
 	c.slot.Release()
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -102,7 +102,7 @@
 	defer request.end()
 	if c := connOf(r.Context()); c != nil {
 		defer c.end()
-		if err := c.begin(r.ProtoMajor > 1); err != nil {
+		if err := c.begin(memory, r.ProtoMajor > 1); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -151,17 +151,24 @@
 	const limit = 4
 	listen := func(t *testing.T, patience time.Duration) string {
 		connections := usage.New(usage.Config{Timers: clock.Clock{}, Limit: limit, Patience: patience, MinProgress: 1})
-		server, err := httpd.Listen(httpd.Config{Name: "listener", Address: "127.0.0.1:0", Connections: connections})
+		memory := usage.New(usage.Config{Timers: clock.Clock{}, Limit: memoryBytes})
+		server, err := httpd.Listen(httpd.Config{Name: "listener", Address: "127.0.0.1:0", Connections: connections, Memory: memory})
 		assert.NilError(t, err)
-		server.Handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server.Handle(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}))
 		go func() { _ = server.Serve() }()
 		t.Cleanup(func() { _ = server.Close() })
 		return server.Address()
 	}
 	t.Run("those that stall make room", func(t *testing.T) {
 		address := listen(t, 0)
-		for range 3 * limit {
-			dial(t, address)
+		for _, start := range []string{"", "POST / HT", post(2) + "x"} {
+			for range 3 * limit {
+				conn, _ := dial(t, address)
+				// An earlier one may have been closed meanwhile.
+				_, _ = io.WriteString(conn, start)
+			}
 		}
 		conn, answers := dial(t, address)
 		send(t, conn, post(0))
