Bound the log lines of refused requests, show the memory of requests

There are now 20 a second, and lines left out counts the rest.

The new gauge teaseltack_request_bytes_held shows an operator how near the requests are to what they may hold.

--- a/io/daemon/listeners.go
+++ b/io/daemon/listeners.go
@@ -103,6 +103,7 @@
 			return float64(d.countRecords(func(r teaseltack.Record) bool { return d.picker.Ejected(r.Host) }))
 		},
 		DataCentresUnreachable: func() float64 { return float64(len(d.gossiper.Unreachable())) },
+		RequestBytes:           func() float64 { return float64(d.memory.Held()) },
 	}
 }
 
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -29,6 +29,8 @@
 	// GenerationAge returns the seconds since the generation came into force; it may be
 	// nil.
 	GenerationAge func() float64
+	// RequestBytes returns the memory that requests hold.
+	RequestBytes func() float64
 }
 
 // Metrics holds the counters. The number of label values is bounded. It is safe for
@@ -109,6 +111,7 @@
 	add("homes_ejected", "Homes that this entry ejected.", g.HomesEjected)
 	add("data_centres_unreachable", "Data centres out of reach.", g.DataCentresUnreachable)
 	add("retry_budget_left", "Retries left for the target that has fewest.", g.LeastRetryBudget)
+	add("request_bytes_held", "Memory that requests hold, of what they may hold together.", g.RequestBytes)
 	add("generation_age_seconds", "Time since the generation came into force here.", g.GenerationAge)
 }
 
--- a/io/reqlog/reqlog.go
+++ b/io/reqlog/reqlog.go
@@ -72,6 +72,17 @@
 		"level", d.Load.Level, "level-below", d.Load.NestedLevel, "class", d.Class, "nested", d.Nested, "generation", l.generation())
 }
 
+// stepMalformed counts the lines of requests that were refused before they were handled.
+const stepMalformed teaseltack.Step = "malformed"
+
+// RecordMalformed logs a request that was refused before it was handled, unless the limit
+// of such lines is reached.
+func (l *Logger) RecordMalformed(err error) {
+	if l.allowed(stepMalformed) {
+		l.cfg.Log.Warn("malformed request refused", "error", err)
+	}
+}
+
 func (l *Logger) generation() teaseltack.Generation {
 	if l.cfg.Generation == nil {
 		return 0
--- a/io/reqlog/reqlog_test.go
+++ b/io/reqlog/reqlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,21 @@
 	})
 }
 
+// Guards against clients that fill the log with requests that are refused.
+func TestLinesOfMalformedRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		logger := reqlog.New(reqlog.Config{Timers: clock.Clock{}, Log: hclog.New(&hclog.LoggerOptions{Output: &out})})
+		for range 150 {
+			logger.RecordMalformed(errors.New("a bad head"))
+		}
+		assert.Equal(t, strings.Count(out.String(), "a bad head"), 20)
+		time.Sleep(time.Second)
+		logger.RecordMalformed(errors.New("the next one"))
+		assert.Assert(t, strings.Contains(out.String(), "lines left out: step=malformed count=130"), out.String())
+	})
+}
+
 func BenchmarkDecided(b *testing.B) {
 	logger := reqlog.New(reqlog.Config{Timers: clock.Clock{}, Log: hclog.New(&hclog.LoggerOptions{Output: &bytes.Buffer{}})})
 	d := &teaseltack.Decision{Step: teaseltack.StepAnswered, ID: "a", Target: teaseltack.Target{Service: "s", Method: "m"}}
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -60,7 +60,7 @@
 func (s *Sidecar) createServers(l *listeners) {
 	s.listeners = l
 	descriptors := s.descriptors()
-	s.outerServer = http1.New(http1.Config{Listener: l.outer, Memory: s.memory, Connections: s.connections(descriptors.Outer()), Handle: s.handle, Limits: s.limits, OnMalformed: s.onMalformed})
+	s.outerServer = http1.New(http1.Config{Listener: l.outer, Memory: s.memory, Connections: s.connections(descriptors.Outer()), Handle: s.handle, Limits: s.limits, OnMalformed: s.requestLog.RecordMalformed})
 	s.readinessServer = http1.New(http1.Config{Listener: l.ready, Memory: s.memory, Connections: s.connections(descriptors.Operator()), Limits: smallLimits, Handle: func(_ context.Context, r *http1.Request) http1.Response {
 		return platform.ServeReadiness(s.isReady(), r)
 	}})
@@ -118,10 +118,6 @@
 	return http1.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: time.Minute}
 }
 
-func (s *Sidecar) onMalformed(err error) {
-	s.log.Warn("malformed request refused", "error", err)
-}
-
 func (s *Sidecar) gauges() metric.Gauges {
 	return metric.Gauges{
 		Load:              func() teaseltack.Load { return s.gate.Summary() },
@@ -143,6 +139,7 @@
 			}
 			return fewest
 		},
+		RequestBytes: func() float64 { return float64(s.memory.Held()) },
 		GenerationAge: func() float64 {
 			since := s.configuredAt.Load()
 			if since == nil {
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -121,6 +121,7 @@
 	// memory bounds what requests hold, at all listeners together.
 	memory          *usage.Limiter
 	metrics         *metric.Metrics
+	requestLog      *reqlog.Logger
 	outerServer     *http1.Server
 	readinessServer *http1.Server
 	announceServer  *http1.Server
@@ -182,14 +183,14 @@
 		Timers: s.timers, Rand: source, Host: host, Incarnation: incarnation,
 		Lifetime: ticketLifetime, MaxRecords: int(c.MaxRemembered), MaxKeptBytes: maxKeptAnswers,
 	})
-	logger := reqlog.New(reqlog.Config{Timers: s.timers, Log: s.log, Generation: func() teaseltack.Generation {
+	s.requestLog = reqlog.New(reqlog.Config{Timers: s.timers, Log: s.log, Generation: func() teaseltack.Generation {
 		generation, _ := s.follower.Current()
 		return generation
 	}, OnDrop: s.metrics.LineDropped})
 	scopes := scope.New(scope.Config{Rand: source})
 	s.home = home.New(home.Config{
 		Timers: s.timers, Host: host, Gate: s.gate, Server: &server{side: s},
-		Tickets: s.tickets, Scopes: scopes, Levels: s.levels, Origins: s.origins, NestedStats: s.nestedStats, Decisions: logger,
+		Tickets: s.tickets, Scopes: scopes, Levels: s.levels, Origins: s.origins, NestedStats: s.nestedStats, Decisions: s.requestLog,
 	})
 	s.follower = follow.New(follow.Config{
 		Timers: s.timers, Rand: source, Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig,
@@ -211,7 +212,7 @@
 	})
 	s.entry = entry.New(entry.Config{
 		Timers: s.timers, Rand: source, Host: host, Policies: s.follower, Picker: s.picker, Levels: s.levels,
-		Scopes: scopes, Homes: s.links, LocalHome: s.home, Observer: s.metrics, MoveOnRefusal: true, Decisions: logger,
+		Scopes: scopes, Homes: s.links, LocalHome: s.home, Observer: s.metrics, MoveOnRefusal: true, Decisions: s.requestLog,
 		Service: s.service, NestedStats: s.nestedStats, RetryFailed: true,
 		RetryBudget:        budget.Config{Share: retryFraction * c.RetryRatio, Window: seconds(c.RetryWindowS)},
 		UncertainRetryCost: repeatCost,
