Let no answer between daemons make room for another

A long answer that was being read over a link counted as stalled at once when another one found no memory: its link was closed, and with it all calls on it may have run.

Cause: found by reading. The limiter of answers has no patience, which means that what is received stalls at once; the pool marks its answers as complete from the start, the links did not.

Fix: the links do so too. A silent host is found by pings, as before. TestAnAnswerMakesNoRoomForOthers failed before: the second answer was taken and the first one's link closed.

--- a/io/link/memory_test.go
+++ b/io/link/memory_test.go
@@ -122,6 +122,30 @@
 	assert.Equal(t, answers.Held(), int64(0))
 }
 
+// Guards against an answer, and with it a whole link, that is ended because another answer
+// finds no memory.
+func TestAnAnswerMakesNoRoomForOthers(t *testing.T) {
+	answers := usage.New(usage.Answers(clock.Clock{}, longCall))
+	a := newNodeFor(t, "a", clock.Clock{}, func(c *link.Config) { c.AnswerMemory = answers })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		_, _ = a.links.Forward(t.Context(), teaseltack.Record{Host: "slow", PeerAddress: listener.Addr().String()}, call("slow", false))
+	}()
+	slow, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = slow.Close() })
+	// The length of the frame is 6 * 2^17 bytes.
+	_, err = slow.Write([]byte{0x80, 0x80, 0x30})
+	assert.NilError(t, err)
+	awaitHeld(t, answers, func(held int64) bool { return held > longCall/2 })
+	held := answers.Held()
+	_, err = a.links.Forward(t.Context(), newNode(t, "b").record, longBodied("x"))
+	assertVerdict(t, err, teaseltack.MayHaveRun)
+	assert.Equal(t, answers.Held(), held)
+}
+
 // Guards against memory that is given back while a long call is still being written to a
 // host that does not read, and against callers that wait for that.
 func TestACallHoldsItsBodyUntilItIsWritten(t *testing.T) {
--- a/io/link/receive.go
+++ b/io/link/receive.go
@@ -67,6 +67,10 @@
 		return received{}, fmt.Errorf("a frame of %d bytes, allowed are %d", size, maxFrame)
 	}
 	memory := c.limiter().Enter(func() { c.close(errStalled) })
+	if c.peer != nil {
+		// An answer makes no room for others: pings find out whether its host is silent.
+		memory.Complete()
+	}
 	defer memory.Complete()
 	r, err := c.receiveFrame(reader, int(size), memory)
 	if err != nil || r.refused != nil {
