Keep the connections of requests on servers that bound no memory

A server with a bound on connections and none on memory closed connections whose requests were in progress when others connected: the place is kept by way of the request's memory. No daemon is set up so; found by reading. TestARequestInProgressKeepsItsConnection failed before.

--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -79,6 +79,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	if request == nil {
+		c.slot.Complete()
+	}
 	request.CompleteWith(c.slot)
 	c.memory.Complete()
 	c.memory.Give(c.headBytes)
--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -214,3 +214,26 @@
 		awaitHeld(t, memory, isOpen(1))
 	})
 }
+
+// Guards against the end of a request in progress on a server that bounds its connections
+// but not its memory.
+func TestARequestInProgressKeepsItsConnection(t *testing.T) {
+	connections := usage.New(usage.Config{Timers: clock.Clock{}, Limit: 1, MinProgress: 1})
+	server, err := httpd.Listen(httpd.Config{Name: "listener", Address: "127.0.0.1:0", Connections: connections})
+	assert.NilError(t, err)
+	started, release := make(chan struct{}), make(chan struct{})
+	server.Handle(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	go func() { _ = server.Serve() }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, answers := dial(t, server.Address())
+	send(t, conn, post(0))
+	<-started
+	_, others := dial(t, server.Address())
+	_, err = others.ReadByte()
+	assert.Assert(t, err != nil)
+	close(release)
+	checkStatus(t, answers, http.StatusOK)
+}
