Close the refused port of a test once the other ports are taken

Cause: the test closed its listener, and then opened those of the other cases, which may get the same port; ran is the verdict of the case with a too large answer. Ruled out: the code under test, which is unchanged but for its limiter, whose errors never say ran.

The listener is closed after the others are open. The checks are the same.

--- a/io/invoke/invoke_test.go
+++ b/io/invoke/invoke_test.go
@@ -111,14 +111,13 @@
 func TestVerdictsOfBrokenAnswers(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	assert.NilError(t, closed.Close())
 	serve := func(text string) string {
 		return rawServer(t, func(conn net.Conn, _ *http.Request) bool {
 			_, _ = conn.Write([]byte(text))
 			return false
 		})
 	}
-	for name, test := range map[string]struct {
+	tests := map[string]struct {
 		address string
 		verdict teaseltack.Verdict
 		reason  teaseltack.Reason
@@ -130,7 +129,10 @@
 		"cut in a chunk":     {serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
 		"no length":          {serve("HTTP/1.1 200 OK\r\n\r\nhal"), teaseltack.MayHaveRun, teaseltack.ReasonAnswerCut},
 		"too large":          {serve("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + string(make([]byte, 101))), teaseltack.Ran, teaseltack.ReasonTooLarge},
-	} {
+	}
+	// Closed only now, the port is none of the others.
+	assert.NilError(t, closed.Close())
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			err := dispatch(newInvoker(test.address), http.MethodPost, "", 5*time.Second)
 			refusal := teaseltack.AsRefusal(err)
