--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
   echo "build the deploy file and run review/build-2.sh first" >&2
   exit 2
 fi
-exec target/review2 outage review/9
+exec target/review2 drill review/9
