--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -19,16 +19,17 @@
 
 // client is one client connection.
 type client struct {
+	rig    *rig
 	nc     net.Conn
 	reader *bufio.Reader
 }
 
-func dial(address string) (*client, error) {
+func (r *rig) dial(address string) (*client, error) {
 	nc, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &client{nc: nc, reader: bufio.NewReader(nc)}, nil
+	return &client{rig: r, nc: nc, reader: bufio.NewReader(nc)}, nil
 }
 
 func (c *client) close() {
@@ -45,6 +46,7 @@
 		return err
 	}
 	_, err := c.nc.Write(body)
+	c.rig.note("client: sent %s %s %s with %d bytes, error %v", id, method, uri, len(body), err)
 	return err
 }
 
@@ -68,12 +70,14 @@
 	if err != nil {
 		return answer{}, err
 	}
-	return answer{status: response.StatusCode, id: response.Header.Get("X-Teaseltack-Attempt-Id"), stamp: response.Header.Get("X-Teaseltack-Server-Stamp"), length: length, close: response.Close}, nil
+	a := answer{status: response.StatusCode, id: response.Header.Get("X-Teaseltack-Attempt-Id"), stamp: response.Header.Get("X-Teaseltack-Server-Stamp"), length: length, close: response.Close}
+	c.rig.note("client: answer %d of %q with %d bytes, stamp %q", a.status, a.id, a.length, a.stamp)
+	return a, nil
 }
 
 // ask sends one request on a new connection and reads its answer.
-func ask(address, method, uri, id string, budget time.Duration, body []byte) (answer, error) {
-	c, err := dial(address)
+func (r *rig) ask(address, method, uri, id string, budget time.Duration, body []byte) (answer, error) {
+	c, err := r.dial(address)
 	if err != nil {
 		return answer{}, err
 	}
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -172,6 +172,7 @@
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
+	e.rig.note("endpoint %s: runs %s", e.id, id)
 	if !e.readBody(r) {
 		return
 	}
@@ -197,6 +198,7 @@
 	e.mu.Lock()
 	run.ended = time.Now()
 	e.mu.Unlock()
+	e.rig.note("endpoint %s: answered %s with %d and %d bytes", e.id, id, status, len(body))
 }
 
 // readBody reads the body, at most bodyBytesPerSecond if that is set.
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -29,7 +29,7 @@
 			}
 			open.Go(func() {
 				id := newID()
-				a, err := ask(m.outer, http.MethodPost, uri, id, 5*time.Second, []byte("a payment"))
+				a, err := r.ask(m.outer, http.MethodPost, uri, id, 5*time.Second, []byte("a payment"))
 				if err != nil {
 					a.status = -1
 				}
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -78,7 +78,7 @@
 	done := make(chan struct{})
 	for range clients {
 		open.Go(func() {
-			c, err := dial(m.outer)
+			c, err := m.rig.dial(m.outer)
 			if err != nil {
 				return
 			}
@@ -151,7 +151,7 @@
 	stopAsking := one.keepAsking(8, "/look-up/a?work=800")
 	body := make([]byte, bodyMB<<20)
 	for range count {
-		c, err := dial(one.outer)
+		c, err := r.dial(one.outer)
 		if err != nil {
 			break
 		}
@@ -191,7 +191,7 @@
 	stopAsking := one.keepAsking(8, "/look-up/a?work=800")
 	var open sync.WaitGroup
 	for range clients {
-		c, err := dial(one.outer)
+		c, err := r.dial(one.outer)
 		if err != nil {
 			break
 		}
--- a/review/rig2/pipelined.go
+++ b/review/rig2/pipelined.go
@@ -23,7 +23,7 @@
 	}
 	var pairs []*pair
 	for range 5 {
-		c, err := dial(one.outer)
+		c, err := r.dial(one.outer)
 		check(err)
 		defer c.close()
 		check(c.send("GET", "/look-up/a?work=20", newID(), budget, nil))
--- a/review/rig2/rolling.go
+++ b/review/rig2/rolling.go
@@ -32,7 +32,7 @@
 	for i := range results {
 		open.Go(func() {
 			id, sent := newID(), time.Now()
-			a, err := ask(entry.outer, http.MethodPost, "/payment/a?work=4600", id, budget, []byte("a payment"))
+			a, err := r.ask(entry.outer, http.MethodPost, "/payment/a?work=4600", id, budget, []byte("a payment"))
 			results[i] = result{id: id, took: time.Since(sent), a: a, err: err}
 		})
 	}
