Log by which configuration a request was routed and how late one came

Nothing told when a daemon had first heard of a generation that it did not hold yet, so that a change that was late to arrive, one that waited inside the daemon and one that was decided before could not be told apart.

Calls between daemons carry the generation that chose their target; pings and pongs carry the age of theirs. core/newest keeps which generations are known and since when. No decision changes.

--- a/core/entry/arrive.go
+++ b/core/entry/arrive.go
@@ -28,6 +28,7 @@
 		CallerAttempt: req.CallerAttempt,
 		Ticket:        req.Ticket,
 		Key:           req.Key,
+		Generation:    req.Generation,
 		Payload:       req.Payload,
 	}
 	now := e.cfg.Timers.Now()
--- a/core/entry/decision.go
+++ b/core/entry/decision.go
@@ -23,11 +23,11 @@
 		Step: step, Part: "entry", At: e.cfg.Host, Status: answer.Status, Work: answer.Work, Waited: answer.Waited, Load: answer.Load,
 	}
 	if req != nil {
-		d.ID, d.Target, d.Class = req.ID, req.Target, req.Class
+		d.ID, d.Target, d.Class, d.Generation = req.ID, req.Target, req.Class, req.Generation
 	}
 	if rs != nil {
 		now := e.cfg.Timers.Now()
-		d.ID, d.Target, d.Home = rs.call.ID, rs.call.Target, rs.home
+		d.ID, d.Target, d.Home, d.Generation = rs.call.ID, rs.call.Target, rs.home, rs.call.Generation
 		d.HomesTried, d.Class, d.Nested = len(rs.tried), rs.call.Priority.Class, rs.impliedNested || rs.parent != nil
 		d.Remaining, d.Elapsed = rs.call.Deadline.Sub(now), now.Sub(rs.started)
 		if step == teaseltack.StepAnswered && rs.policy.Objective > 0 && d.Elapsed > rs.policy.Objective {
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -59,6 +59,9 @@
 	// StoreDown reports that other calls to the store fail and that StoreRecovered
 	// will be called once one succeeds; it may be nil.
 	StoreDown func() bool
+	// OnDecoded is called without locks with the generation of each document that was
+	// decoded, before it is compared with the one in force.
+	OnDecoded func(generation teaseltack.Generation)
 	// OnChange is called under the follower's lock when a configuration has come
 	// into force, so calls are in the order of generations. from is the source of
 	// the document: store, poll or peer.
@@ -172,6 +175,7 @@
 		f.cfg.OnReject(err)
 		return
 	}
+	f.cfg.OnDecoded(config.Generation)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if from == fromWatch {
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -132,7 +132,7 @@
 	f := follow.New(follow.Config{
 		Timers: clock.Clock{}, Rand: random.Seeded(1), Store: store, Key: "config", Decode: decode,
 		PollPeriod: func() time.Duration { return period },
-		OnChange:   func(*rules.Table, string) {}, OnReject: func(error) {}, OnStoreResult: func(string, error) {},
+		OnChange:   func(*rules.Table, string) {}, OnReject: func(error) {}, OnDecoded: func(teaseltack.Generation) {}, OnStoreResult: func(string, error) {},
 	})
 	done := make(chan struct{})
 	go func() {
@@ -241,7 +241,7 @@
 		f := follow.New(follow.Config{
 			Timers: clock.Clock{}, Rand: random.Seeded(1), Store: store, Key: "config", Decode: decode,
 			PollPeriod: func() time.Duration { return time.Hour }, OnMissedChange: func() { missed.Add(1) },
-			OnChange: func(*rules.Table, string) {}, OnReject: func(error) {}, OnStoreResult: func(string, error) {},
+			OnChange: func(*rules.Table, string) {}, OnReject: func(error) {}, OnDecoded: func(teaseltack.Generation) {}, OnStoreResult: func(string, error) {},
 		})
 		go f.Run()
 		synctest.Wait()
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -147,7 +147,7 @@
 	d := &teaseltack.Decision{
 		Step: teaseltack.StepRan, Part: "home", At: h.cfg.Host, Home: h.cfg.Host, ID: call.ID, Target: call.Target, Status: answer.Status,
 		Verdict: answer.Verdict(), Remaining: call.Deadline.Sub(now), Elapsed: now.Sub(started), Work: answer.Work, Waited: answer.Waited,
-		Load: answer.Load, Class: call.Priority.Class, Nested: call.Priority.Nested,
+		Load: answer.Load, Class: call.Priority.Class, Nested: call.Priority.Nested, Generation: call.Generation,
 	}
 	if answer.Refusal != nil {
 		d.Step, d.Reason, d.Detail = teaseltack.StepBroke, answer.Refusal.Reason, answer.Refusal.Detail
--- a/decision.go
+++ b/decision.go
@@ -55,6 +55,9 @@
 	Load                             Load
 	Class                            Class
 	Nested                           bool
+	// Generation is the configuration by which the entry chose the target, 0 if the caller
+	// named it.
+	Generation Generation
 }
 
 // DecisionRecorder records decisions about requests.
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -318,8 +318,9 @@
 // peer's generation is older. It pings back to receive the peer's document if that is
 // newer.
 func (c *conn) handlePing(ping *peerv1.Ping) {
+	c.links.heard(ping.Generation, ping.AgeMs)
 	generation, document := c.links.cfg.Current()
-	pong := &peerv1.Pong{Generation: uint64(generation)}
+	pong := &peerv1.Pong{Generation: uint64(generation), AgeMs: c.links.cfg.Age().Milliseconds()}
 	if uint64(generation) > ping.Generation {
 		pong.Document = document
 	}
@@ -333,6 +334,7 @@
 }
 
 func (c *conn) handlePong(pong *peerv1.Pong) {
+	c.links.heard(pong.Generation, pong.AgeMs)
 	if len(pong.Document) > 0 {
 		c.links.cfg.OnConfig(teaseltack.Generation(pong.Generation), pong.Document)
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -67,6 +67,12 @@
 	Connections *usage.Limiter
 	// Current returns the generation and the document of the configuration in force.
 	Current func() (teaseltack.Generation, []byte)
+	// Age returns the time since the generation in force was first known to exist.
+	Age func() time.Duration
+	// OnGeneration is called with each generation that another host names as its own, and
+	// the time since that one was first known to exist, on the goroutine that reads that
+	// host's connection.
+	OnGeneration func(generation teaseltack.Generation, age time.Duration)
 	// OnConfig is called when another host sends a newer configuration, on the
 	// goroutine that reads that host's connection.
 	OnConfig func(generation teaseltack.Generation, document []byte)
@@ -315,5 +321,10 @@
 
 func (l *Links) newPing() *peerv1.Ping {
 	generation, _ := l.cfg.Current()
-	return &peerv1.Ping{Generation: uint64(generation), Alone: len(l.cfg.Records()) <= 1}
+	return &peerv1.Ping{Generation: uint64(generation), AgeMs: l.cfg.Age().Milliseconds(), Alone: len(l.cfg.Records()) <= 1}
+}
+
+// heard reports a generation that another host names as its own.
+func (l *Links) heard(generation uint64, ageMs int64) {
+	l.cfg.OnGeneration(teaseltack.Generation(generation), time.Duration(ageMs)*time.Millisecond)
 }
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -58,6 +58,8 @@
 		Current: func() (teaseltack.Generation, []byte) {
 			return teaseltack.Generation(n.generation.Load()), []byte("document")
 		},
+		Age:            func() time.Duration { return 0 },
+		OnGeneration:   func(teaseltack.Generation, time.Duration) {},
 		OnConfig:       func(g teaseltack.Generation, _ []byte) { n.generation.Store(uint64(g)) },
 		Records:        func() []teaseltack.Record { return []teaseltack.Record{n.record} },
 		OnRecords:      func(records []teaseltack.Record) { n.receivedRecords <- records },
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -4,6 +4,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -31,6 +32,9 @@
 	GenerationAge func() float64
 	// RequestBytes returns the memory that requests hold.
 	RequestBytes func() float64
+	// GenerationKnown returns the newest generation that the daemon knows of, in force or
+	// not; it may be nil.
+	GenerationKnown func() float64
 	// StoreEra returns the era of the platform's store; it may be nil.
 	StoreEra func() float64
 }
@@ -43,6 +47,7 @@
 	refused      *prometheus.CounterVec
 	retries      *prometheus.CounterVec
 	work         *prometheus.HistogramVec
+	late         *prometheus.HistogramVec
 	platform     *prometheus.CounterVec
 	droppedLines *prometheus.CounterVec
 	mu           sync.Mutex
@@ -82,8 +87,12 @@
 			Namespace: namespace, Name: "work_seconds", Help: "Time at the backend server per whole answer.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}, []string{"service"}),
+		late: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "configuration_late_seconds", Help: "Time from when a generation was first known until it was in force here, by source.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}, []string{"source"}),
 	}
-	m.registry.MustRegister(m.answered, m.refused, m.retries, m.platform, m.droppedLines, m.work,
+	m.registry.MustRegister(m.answered, m.refused, m.retries, m.platform, m.droppedLines, m.work, m.late,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registerGauges(g)
 	return m
@@ -115,6 +124,7 @@
 	add("retry_budget_left", "Retries left for the target that has fewest.", g.LeastRetryBudget)
 	add("request_bytes_held", "Memory that requests hold, of what they may hold together.", g.RequestBytes)
 	add("store_era", "Era of the platform's store; 0 while it names none.", g.StoreEra)
+	add("generation_known", "Newest generation that the daemon knows of, in force or not.", g.GenerationKnown)
 	add("generation_age_seconds", "Time since the generation came into force here.", g.GenerationAge)
 }
 
@@ -146,6 +156,12 @@
 	m.platform.WithLabelValues(kind, result).Inc()
 }
 
+// ConfigurationChanged counts a generation that came into force, with its source and the
+// time since it was first known.
+func (m *Metrics) ConfigurationChanged(source string, late time.Duration) {
+	m.late.WithLabelValues(source).Observe(late.Seconds())
+}
+
 // LineDropped counts a dropped log line of a decision.
 func (m *Metrics) LineDropped(step teaseltack.Step) {
 	m.droppedLines.WithLabelValues(string(step)).Inc()
--- a/io/reqlog/reqlog.go
+++ b/io/reqlog/reqlog.go
@@ -69,7 +69,7 @@
 		"verdict", d.Verdict, "reason", d.Reason, "detail", d.Detail, "attempt", d.HomesTried,
 		"left-ms", d.Remaining.Milliseconds(), "took-ms", d.Elapsed.Milliseconds(), "work-ms", d.Work.Milliseconds(),
 		"waited-ms", d.Waited.Milliseconds(), "in-flight", d.Load.InFlight, "limit", d.Load.Limit,
-		"level", d.Load.Level, "level-below", d.Load.NestedLevel, "class", d.Class, "nested", d.Nested, "generation", l.generation())
+		"level", d.Load.Level, "level-below", d.Load.NestedLevel, "class", d.Class, "nested", d.Nested, "generation", l.generation(), "routed-by", d.Generation)
 }
 
 // stepMalformed counts the lines of requests that were refused before they were handled.
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -139,8 +139,9 @@
 			}
 			return fewest
 		},
-		RequestBytes: func() float64 { return float64(s.memory.Held()) },
-		StoreEra:     func() float64 { return float64(s.eras.Current()) },
+		RequestBytes:    func() float64 { return float64(s.memory.Held()) },
+		StoreEra:        func() float64 { return float64(s.eras.Current()) },
+		GenerationKnown: func() float64 { return float64(s.newest.Known()) },
 		GenerationAge: func() float64 {
 			since := s.configuredAt.Load()
 			if since == nil {
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -23,6 +23,7 @@
 	"teaseltack/core/home"
 	"teaseltack/core/levels"
 	"teaseltack/core/nested"
+	"teaseltack/core/newest"
 	"teaseltack/core/origin"
 	"teaseltack/core/picker"
 	"teaseltack/core/rejoin"
@@ -118,6 +119,7 @@
 	rejoin      *rejoin.Guard
 	roster      *roster.Roster
 	follower    *follow.Follower
+	newest      *newest.Tracker
 	links       *link.Links
 	pool        *pool.Pool
 	// memory bounds what requests hold, at all listeners together.
@@ -137,6 +139,8 @@
 	closing          atomic.Bool
 	refusing         atomic.Bool
 	storeUnreachable atomic.Bool
+	// reportedBehind is the last generation that was logged as known and not in force.
+	reportedBehind atomic.Uint64
 	// configuredAt is when the configuration came into force; nil while there is none.
 	configuredAt atomic.Pointer[time.Time]
 	// tombstonesUnstored holds a value if the store may not hold all tombstones.
@@ -168,6 +172,7 @@
 	incarnation := teaseltack.Incarnation(source.Uint64() >> 1)
 	s.eras = eras.New(eras.Config{OnChange: s.onStoreEra})
 	store := platform.NewStore(c.PlatformAddress, s.eras)
+	s.newest = newest.New(newest.Config{Timers: s.timers})
 	s.translator = platform.Translator{Rand: source.Uint64}
 	s.metrics = metric.New(s.gauges())
 	s.tracker = health.New(health.Config{Timeout: maxMissedHeartbeats * seconds(c.HeartbeatS)})
@@ -197,7 +202,8 @@
 	s.follower = follow.New(follow.Config{
 		Timers: s.timers, Rand: source, Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig,
 		PollPeriod: s.pollPeriod, OnMissedChange: func() { s.roster.Refresh() }, StoreDown: func() bool { return s.roster.WritesFailing() },
-		OnChange: s.onConfig, OnReject: s.onConfigRejected, OnStoreResult: s.onStoreResult,
+		OnDecoded: func(generation teaseltack.Generation) { s.newest.Heard(generation, 0) },
+		OnChange:  s.onConfig, OnReject: s.onConfigRejected, OnStoreResult: s.onStoreResult,
 	})
 	s.roster = roster.New(roster.Config{
 		Timers: s.timers, Rand: source, Store: store, Prefix: hostPrefix, OnChange: s.onRecords, OnStoreResult: s.onStoreResult, OnRecover: s.follower.StoreRecovered,
@@ -210,6 +216,7 @@
 	})
 	s.links = link.New(link.Config{
 		Timers: s.timers, Host: host, Serve: s.home.Serve, CallMemory: s.memory, AnswerMemory: answers, Connections: s.connections(s.descriptors().Peer()),
+		Age: s.newest.Age, OnGeneration: s.newest.Heard,
 		Current: s.follower.Current, OnConfig: s.follower.Adopt, Records: s.roster.Records, OnRecords: s.roster.AddKnown,
 		OnReachability: s.onReachability, MayBeStale: s.follower.MayBeStale,
 	})
@@ -246,7 +253,9 @@
 	c := table.Config()
 	now := s.timers.Now()
 	s.configuredAt.Store(&now)
-	s.log.Info("configuration in force", "generation", c.Generation, "rules", len(c.Rules), "from", from)
+	late := s.newest.InForce(c.Generation)
+	s.metrics.ConfigurationChanged(from, late)
+	s.log.Info("configuration in force", "generation", c.Generation, "rules", len(c.Rules), "from", from, "late-ms", late.Milliseconds())
 	s.resize(s.tracker.Server(), false)
 	s.links.NotifyPeers()
 }
@@ -261,6 +270,19 @@
 	return max(time.Duration(len(s.roster.Records()))*time.Second/pollsPerSecond, minPeriod)
 }
 
+// behindAfter is the time after which a known generation that is not in force is logged.
+const behindAfter = time.Second
+
+// checkConfiguration logs once for each generation that is known and not in force.
+func (s *Sidecar) checkConfiguration() {
+	behind, known := s.newest.Behind(), s.newest.Known()
+	if behind < behindAfter || s.reportedBehind.Swap(uint64(known)) == uint64(known) {
+		return
+	}
+	generation, _ := s.follower.Current()
+	s.log.Warn("configuration behind", "generation", generation, "known", known, "for-ms", behind.Milliseconds(), "watch-fails", s.follower.MayBeStale())
+}
+
 func (s *Sidecar) onConfigRejected(err error) {
 	s.log.Error("configuration rejected, the one in force stays", "error", err)
 }
@@ -369,7 +391,7 @@
 	go s.outerServer.Serve()
 	go s.readinessServer.Serve()
 	go s.announceServer.Serve()
-	s.stops = append(s.stops, s.timers.Every(seconds(s.settings.HeartbeatS)/2, s.checkHeartbeats))
+	s.stops = append(s.stops, s.timers.Every(seconds(s.settings.HeartbeatS)/2, s.checkHeartbeats), s.timers.Every(behindAfter/2, s.checkConfiguration))
 	<-ctx.Done()
 	if err := s.shutdown(abort); err != nil {
 		return fmt.Errorf("stopping: %w", err)
--- a/io/side/world_test.go
+++ b/io/side/world_test.go
@@ -29,7 +29,6 @@
 type testbed struct {
 	t       *testing.T
 	store   *fake.Store
-	http    *httptest.Server
 	hosts   []*host
 	version int
 	// maxConnections is max_conns of the configuration; 0 stands for 100.
@@ -40,13 +39,16 @@
 }
 
 type host struct {
-	name    string
-	service string
-	side    *side.Sidecar
+	name       string
+	dataCentre string
+	service    string
+	side       *side.Sidecar
 	// settings are those of the daemon's start.
 	settings *config.SidecarSettings
 	server   *fake.Server
-	stop     context.CancelFunc
+	// front is this host's way to the store.
+	front *storeFront
+	stop  context.CancelFunc
 	// abort makes a stop cut what is in progress.
 	abort context.CancelFunc
 	done  chan error
@@ -54,7 +56,6 @@
 
 func newTestbed(t *testing.T) *testbed {
 	tb := &testbed{t: t, store: fake.NewStore()}
-	tb.http = httptest.NewServer(tb.store)
 	t.Cleanup(tb.close)
 	return tb
 }
@@ -69,8 +70,6 @@
 		}
 		h.server.Close()
 	}
-	tb.http.CloseClientConnections()
-	tb.http.Close()
 }
 
 // rule is a rule of the operators' configuration.
@@ -95,10 +94,48 @@
 		tb.version, strings.Join(encoded, ","), strings.Join(clusters, ",")))
 }
 
+// storeFront passes the calls of one host on to the store, unless the store turns the host
+// away.
+type storeFront struct {
+	store *fake.Store
+	http  *httptest.Server
+	away  atomic.Bool
+}
+
+func newStoreFront(t *testing.T, store *fake.Store) *storeFront {
+	f := &storeFront{store: store}
+	f.http = httptest.NewServer(f)
+	t.Cleanup(func() {
+		f.http.CloseClientConnections()
+		f.http.Close()
+	})
+	return f
+}
+
+// ServeHTTP serves one call of the host.
+func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.away.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	f.store.ServeHTTP(w, r)
+}
+
+// turnAway makes the store answer 503 to the host from now on and cuts its open calls.
+func (f *storeFront) turnAway() {
+	f.away.Store(true)
+	f.http.CloseClientConnections()
+}
+
 // add starts a host with a backend server of the service.
 func (tb *testbed) add(service string, cfg fake.ServerConfig) *host {
 	tb.t.Helper()
-	h := &host{name: fmt.Sprintf("host-%d", len(tb.hosts)), service: service, done: make(chan error, 1)}
+	return tb.addIn("a", service, cfg)
+}
+
+func (tb *testbed) addIn(dataCentre, service string, cfg fake.ServerConfig) *host {
+	tb.t.Helper()
+	h := &host{name: fmt.Sprintf("host-%d", len(tb.hosts)), dataCentre: dataCentre, service: service, front: newStoreFront(tb.t, tb.store), done: make(chan error, 1)}
 	cfg.Service, cfg.Address, cfg.Instance = service, "127.0.0.1:0", "i-"+h.name
 	cfg.Slots, cfg.HeartbeatPeriod = max(cfg.Slots, 4), 200*time.Millisecond
 	server, err := fake.NewServer(cfg)
@@ -113,9 +150,9 @@
 func (tb *testbed) start(h *host) {
 	tb.t.Helper()
 	h.settings = &config.SidecarSettings{
-		Host: h.name, DataCentre: "a", Region: "r", IP: "127.0.0.1", Service: h.service,
+		Host: h.name, DataCentre: h.dataCentre, Region: "r", IP: "127.0.0.1", Service: h.service,
 		OuterAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", AnnounceAddress: "127.0.0.1:0",
-		ServerAddress: h.server.Address(), PlatformAddress: strings.TrimPrefix(tb.http.URL, "http://"),
+		ServerAddress: h.server.Address(), PlatformAddress: strings.TrimPrefix(h.front.http.URL, "http://"),
 		MemoryMB: 200, HeartbeatS: 5, GraceS: 6, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 48,
 		MaxWaitMs: 100, MaxBodyBytes: 1 << 20, MaxRemembered: 1000, LogLevel: "info",
 	}
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -44,6 +44,7 @@
 		Again:         c.Again,
 		Confirm:       c.ConfirmFirst,
 		Incarnation:   uint64(c.HomeIncarnation),
+		Generation:    uint64(c.Generation),
 	}
 }
 
@@ -73,6 +74,7 @@
 		Again:           m.Again,
 		ConfirmFirst:    m.Confirm,
 		HomeIncarnation: teaseltack.Incarnation(m.Incarnation),
+		Generation:      teaseltack.Generation(m.Generation),
 		Payload:         teaseltack.Payload{Verb: m.Verb, Authority: m.Authority, Path: m.Path, Query: m.Query, Headers: headersIn(m.Headers), Body: m.Body},
 	}, nil
 }
--- a/message.go
+++ b/message.go
@@ -66,6 +66,9 @@
 	// HomeIncarnation is the incarnation of the home that the entry knew when it sent
 	// the earlier call; set with Again.
 	HomeIncarnation Incarnation
+	// Generation is the configuration by which the entry chose the target, 0 if the caller
+	// named it.
+	Generation Generation
 }
 
 // Load is the load that a home reports with every answer.
@@ -165,9 +168,12 @@
 	Ticket  Ticket
 	Key     string
 	// Parent is the context token of a nested call.
-	Parent  string
-	Nested  bool
-	Payload Payload
+	Parent string
+	Nested bool
+	// Generation is the configuration by which the target was chosen, 0 if the caller named
+	// it.
+	Generation Generation
+	Payload    Payload
 }
 
 // MayHaveRunEarlier reports whether an earlier attempt of the same request may
