Link each data centre to every other, so that a configuration reaches it

What callers saw: requests of a rule were run by the service that only an older configuration names, at several entries of a data centre at once, after the newer configuration had been confirmed for longer than the bound.

Cause: daemons pass a newer configuration on over their links, and links existed only to hosts that had been called. Calls go to servers of the own data centre where there are any, so a data centre could be an island: when the store turned away its hosts, each of them asked only hosts that knew as little.

Ruled out: that hosts of the data centre compared too rarely: they pinged three others each second, all of them in the same data centre.

Why this works: each daemon keeps links to two hosts of every data centre, which it chooses by rendezvous hashing of its own, and passes over hosts that are out of reach. A daemon whose configuration has changed, or whose store fails, compares with one host of each data centre besides those chosen before. At 5 data centres that is at most 10 links and 5 pings per change more, whatever the number of hosts.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -98,8 +98,14 @@
 	cfg   Config
 	mu    sync.Mutex
 	peers map[teaseltack.HostID]*peer
-	// addresses holds the addresses of the known hosts, nil before the first SetRecords.
+	// records and addresses hold the records of the known hosts and their addresses, nil
+	// before the first SetRecords.
+	records   []teaseltack.Record
 	addresses map[teaseltack.HostID]string
+	// candidates holds the hosts of each data centre that may be contacts, in the order
+	// of preference; recordsChanged is set if they were chosen from earlier records.
+	candidates     [][]teaseltack.Record
+	recordsChanged bool
 	// incoming holds the connections that other hosts dialled to this one.
 	incoming map[*conn]bool
 	// reported holds the reachability last reported for each host, unreported the hosts
@@ -221,7 +227,7 @@
 	}
 	var forgotten []teaseltack.HostID
 	l.mu.Lock()
-	l.addresses = addresses
+	l.records, l.addresses, l.recordsChanged = records, addresses, true
 	for host, p := range l.peers {
 		if l.isKnown(p) {
 			continue
@@ -278,22 +284,21 @@
 // each of them that did not have it notifies as many.
 const notifyCount = 4
 
-// NotifyPeers notifies up to notifyCount hosts of the generation in force; those
-// with an older one receive the new document.
+// NotifyPeers notifies up to notifyCount hosts, and one of each data centre, of the
+// generation in force; those with an older one receive the new document.
 func (l *Links) NotifyPeers() {
-	for _, c := range l.pickConns(notifyCount) {
-		c.ping()
-	}
+	l.compareWith(notifyCount)
 }
 
-// compareConfigs exchanges the generation in force with one host, or with three
-// while the configuration may be stale.
+// compareConfigs exchanges the generation in force with one host, or with three and one
+// of each data centre while the configuration may be stale.
 func (l *Links) compareConfigs() {
-	count := 1
+	l.keepContacts()
 	if l.cfg.MayBeStale() {
-		count = 3
+		l.compareWith(3)
+		return
 	}
-	for _, c := range l.pickConns(count) {
+	for _, c := range l.pickConns(1) {
 		c.ping()
 	}
 }
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -31,18 +31,25 @@
 	removed bool
 }
 
+// peer returns the peer at the host's address. The caller holds l.mu.
+func (l *Links) peer(to teaseltack.Record) *peer {
+	p := l.peers[to.Host]
+	if p != nil && p.record.PeerAddress == to.PeerAddress {
+		return p
+	}
+	if p != nil {
+		l.retire(p, errAddressChanged)
+	}
+	p = &peer{record: to}
+	l.peers[to.Host] = p
+	return p
+}
+
 // connection returns the connection to the host. If there is none, it starts
 // dialling and waits up to connectWait, but fails at once after a failed attempt.
 func (l *Links) connection(ctx context.Context, to teaseltack.Record) (*conn, error) {
 	l.mu.Lock()
-	p := l.peers[to.Host]
-	if p == nil || p.record.PeerAddress != to.PeerAddress {
-		if p != nil {
-			l.retire(p, errAddressChanged)
-		}
-		p = &peer{record: to}
-		l.peers[to.Host] = p
-	}
+	p := l.peer(to)
 	if p.conn != nil {
 		defer l.mu.Unlock()
 		return p.conn, nil
