Learn of a newer configuration from calls and answers

What callers saw: hosts that exchanged calls with hosts of the newer configuration went on by the older one until the next comparison.

Cause: generations were only compared by pings, one host a second. A call named the configuration that had routed it, but its home did not look at it, and answers named none.

Evidence: TestAnEntryLearnsOfAChangeFromAnAnswer ("entry has generation 1, want 2") and TestAHomeLearnsOfAChangeFromACall ("home has generation 1, want 2") failed before, with the periodic comparison off, and pass now.

Ruled out: shorter periods of the comparison, which cost each host the same in calm and help least where most hosts are behind.

Why this works: traffic now carries what the comparison carried, so two hosts that exchange calls differ for one round trip.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -295,6 +295,7 @@
 	defer memory.Release()
 	switch {
 	case f.Answer != nil:
+		c.learn(f.Answer.Generation)
 		c.handleAnswer(f.Number, wire.Codec{}.AnswerIn(f.Answer))
 	case f.Cancel:
 		c.mu.Lock()
@@ -347,6 +348,7 @@
 func (c *conn) handleCall(number uint64, request *peerv1.ForwardRequest, memory *usage.Holder) {
 	release := memory.Release
 	defer func() { release() }()
+	c.learn(request.Generation)
 	call, err := wire.Codec{}.CallIn(request, c.links.cfg.Timers.Now())
 	if err != nil {
 		c.sendAnswer(number, refusedAnswer(request, teaseltack.Refuse(teaseltack.ReasonBadRequest, "%v", err)))
@@ -403,6 +405,8 @@
 func (c *conn) sendAnswer(number uint64, a *teaseltack.Answer) {
 	message := wire.Codec{}.AnswerOut(a)
 	message.RequestId = ""
+	generation, _ := c.links.cfg.Current()
+	message.Generation = uint64(generation)
 	c.send(&peerv1.Frame{Number: number, Answer: message})
 }
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -10,6 +10,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"teaseltack"
@@ -116,6 +117,9 @@
 	listener   net.Listener
 	closed     bool
 	stop       func()
+	// lastPull is when a document was last asked for because of a call or an answer, in
+	// Unix nanoseconds.
+	lastPull atomic.Int64
 }
 
 var _ teaseltack.HomeClient = (*Links)(nil)
--- a/io/wire/wire.go
+++ b/io/wire/wire.go
@@ -99,6 +99,7 @@
 		WaitedUs:    a.Waited.Microseconds(),
 		Inner:       a.Load.ServersOnly,
 		Earlier:     a.Earlier,
+		Generation:  uint64(a.Generation),
 	}
 	if a.Refusal != nil {
 		m.Reason = string(a.Refusal.Reason)
@@ -132,6 +133,7 @@
 		Faulty:      m.Faulty,
 		Waited:      max(time.Duration(m.WaitedUs)*time.Microsecond, 0),
 		Earlier:     m.Earlier,
+		Generation:  teaseltack.Generation(m.Generation),
 	}
 	if m.Reason != "" {
 		a.Refusal = &teaseltack.Refusal{
--- a/message.go
+++ b/message.go
@@ -106,6 +106,8 @@
 	// Faulty is set when the server itself failed the call, rather than one of its
 	// nested calls.
 	Faulty bool
+	// Generation is the configuration in force at the home, 0 if it was not sent.
+	Generation Generation
 	// Earlier is set in the answer to a call with Again if it is the result of the
 	// earlier call, rather than of the question itself.
 	Earlier bool
