Refuse calls that an older configuration routed, and route them anew

What callers saw: requests were run by the service that only an older configuration names.

Cause: an entry chose the service once, when the request had been received. Its home ran whatever a call named, although it had the newer configuration; repeats went to other hosts of the same service; calls that waited in the home's queue kept the decision. One entry that was behind was therefore enough for a request to be run by the wrong service.

Ruled out: judging a call by its method alone, since a new rule with a longer prefix takes requests from one that stays; and refusing calls of which the home only knows that they are older, since most of them are routed the same.

Why this works: a call names its configuration, so the home finds the rule of the request in its own if that is newer, when the call arrives and again after the wait, and refuses it before it runs. The document goes ahead of the refusal on the same connection, so the entry has the newer configuration when it reads the refusal, and each attempt after the first takes its target from the configuration in force. A request that may have run is not moved to a method that must not run twice.

--- a/core/entry/arrive.go
+++ b/core/entry/arrive.go
@@ -14,7 +14,7 @@
 // prepare sets up the state of a request. A root request gets the target's
 // policy; a nested call inherits from its parent's scope.
 func (e *Entry) prepare(req *teaseltack.Request) (*requestState, *teaseltack.Refusal) {
-	policy, known := e.cfg.Policies.Policy(req.Target)
+	req, policy, known := e.findPolicy(req)
 	if !known {
 		return nil, teaseltack.Refuse(teaseltack.ReasonUnknownTarget, "no policy for %s", req.Target)
 	}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -57,10 +57,13 @@
 	// called on the goroutine of each request.
 	Service  func() teaseltack.Service
 	Policies teaseltack.Policies
-	Picker   *picker.Picker
-	Levels   *levels.Table
-	Scopes   *scope.Table
-	Homes    teaseltack.HomeClient
+	// Router finds the new target of a request that was routed by an older configuration
+	// than the one in force, before each attempt after the first; nil keeps the targets.
+	Router teaseltack.Router
+	Picker *picker.Picker
+	Levels *levels.Table
+	Scopes *scope.Table
+	Homes  teaseltack.HomeClient
 	// FindHost returns the record of any host, including one that takes no new
 	// work. It is called on the goroutine of a request with a ticket; it may be
 	// nil if no tickets are used.
@@ -259,6 +262,9 @@
 	var last *teaseltack.Answer
 	for {
 		record, ok := e.cfg.Picker.Pick(e.pickRequest(rs))
+		if !ok && e.reroute(rs) {
+			continue
+		}
 		if !ok {
 			return lastOrNoServer(last, rs.call.Target)
 		}
@@ -272,6 +278,7 @@
 		last = answer
 		rs.tried = append(rs.tried, record.Host)
 		rs.call.Nonce = e.nonce()
+		e.reroute(rs)
 	}
 }
 
--- a/core/entry/forward.go
+++ b/core/entry/forward.go
@@ -81,6 +81,8 @@
 	switch {
 	case answer.Refusal == nil && !answer.Faulty:
 		return picker.Answered
+	case answer.Refusal != nil && answer.Refusal.Reason == teaseltack.ReasonConfiguration:
+		return picker.Ignored
 	case answer.Refusal != nil && answer.Refusal.Verdict == teaseltack.NotRun && cannotServe(answer.Refusal.Reason):
 		return picker.CannotServe
 	case answer.Refusal != nil && answer.Refusal.Reason == teaseltack.ReasonServerShed:
--- a/core/entry/retry.go
+++ b/core/entry/retry.go
@@ -29,7 +29,8 @@
 }
 
 // tryMoveOnRefusal reports whether Config.MoveOnRefusal allows the move of a call
-// that did not run: the connection to the home was lost, the home was not ready,
+// that did not run: the connection to the home was lost, the home was not ready, the home
+// has a newer configuration than the one that routed the call and so has this entry by now,
 // the home shed the call and the service as a whole would not, or the server shed
 // it and the target's retry budget covers another attempt, which is charged.
 func (e *Entry) tryMoveOnRefusal(rs *requestState, refusal *teaseltack.Refusal) bool {
@@ -43,6 +44,8 @@
 		return rs.budget.Spend(1)
 	case teaseltack.ReasonOverload, teaseltack.ReasonEvicted:
 		return !e.wholeServiceSheds(rs, refusal)
+	case teaseltack.ReasonConfiguration:
+		return e.isOutdated(rs)
 	}
 	return false
 }
@@ -64,7 +67,8 @@
 func isFinal(reason teaseltack.Reason) bool {
 	switch reason {
 	case teaseltack.ReasonBadRequest, teaseltack.ReasonTooLarge, teaseltack.ReasonLifetime, teaseltack.ReasonCancelled,
-		teaseltack.ReasonTicketInvalid, teaseltack.ReasonKeyMismatch, teaseltack.ReasonUnknownTarget:
+		teaseltack.ReasonTicketInvalid, teaseltack.ReasonKeyMismatch, teaseltack.ReasonUnknownTarget,
+		teaseltack.ReasonConfiguration:
 		return true
 	}
 	return false
--- a/core/entry/rig_test.go
+++ b/core/entry/rig_test.go
@@ -46,6 +46,10 @@
 	dropContext bool
 	nextFault   func() fault
 	store       *fakeStore
+	// router is the router of all entries and checkRoute the check of all homes; both may
+	// be nil.
+	router     teaseltack.Router
+	checkRoute func(*teaseltack.Call) *teaseltack.Refusal
 
 	mu       sync.Mutex
 	runs     map[string]int
@@ -54,6 +58,8 @@
 	// cutOff holds the hosts that are cut off from the others and the platform.
 	cutOff map[teaseltack.HostID]bool
 	calls  map[teaseltack.RequestID]int
+	// ranAt holds the services at which each request ran.
+	ranAt map[teaseltack.RequestID][]teaseltack.Service
 }
 
 type fakeHost struct {
@@ -86,6 +92,7 @@
 		store:     newFakeStore(),
 		runs:      map[string]int{},
 		calls:     map[teaseltack.RequestID]int{},
+		ranAt:     map[teaseltack.RequestID][]teaseltack.Service{},
 	}
 	for name, count := range services {
 		for i := range count {
@@ -118,6 +125,7 @@
 	})
 	live := home.New(home.Config{
 		Timers: timers, Host: h.record.Host, Gate: h.gate, Server: h, Tickets: h.tickets, Scopes: h.scopes, Levels: h.levels,
+		CheckRoute: h.fleet.checkRoute,
 	})
 	live.SetServing(h.record.Service, teaseltack.Ready)
 	h.home.Store(live)
@@ -126,6 +134,7 @@
 		Timers: timers, Rand: h.source, Host: h.record.Host, Policies: h.fleet, Picker: h.picker, Levels: h.levels, Scopes: h.scopes,
 		Homes: h, FindHost: h.fleet.find, LocalHome: live, Observer: h,
 		EndsAt: func() time.Time { return h.endsAt },
+		Router: h.fleet.router, MoveOnRefusal: h.fleet.router != nil,
 		Claims: claim.New(claim.Config{Timers: timers, Store: hostStore{h, h.fleet.store}, KeyLifetime: time.Hour, FleetRate: 1000}),
 	}))
 }
@@ -233,6 +242,7 @@
 	f.mu.Lock()
 	f.runs[string(call.Payload.Body)]++
 	f.calls[call.ID]++
+	f.ranAt[call.ID] = append(f.ranAt[call.ID], h.record.Service)
 	t := f.nextFault()
 	f.mu.Unlock()
 	work := h.work
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -44,6 +44,10 @@
 	// NestedStats holds the statistics of the local server's nested calls; it may be
 	// nil.
 	NestedStats *nested.Stats
+	// CheckRoute refuses a call that the configuration in force does not send to the
+	// server; it may be nil. It is called on the goroutine of a call with the home's lock
+	// held, so it must not call the home.
+	CheckRoute func(*teaseltack.Call) *teaseltack.Refusal
 	// Decisions records the decision about each call; it may be nil.
 	Decisions teaseltack.DecisionRecorder
 	// Levels holds the admission levels of the targets that the server calls.
@@ -122,6 +126,20 @@
 	return nil
 }
 
+// checkCall refuses a call that the server must not get.
+func (h *Home) checkCall(call *teaseltack.Call) *teaseltack.Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.checkCallLocked(call)
+}
+
+func (h *Home) checkCallLocked(call *teaseltack.Call) *teaseltack.Refusal {
+	if refusal := h.checkServingLocked(call.Target.Service); refusal != nil || h.cfg.CheckRoute == nil {
+		return refusal
+	}
+	return h.cfg.CheckRoute(call)
+}
+
 // Serve runs one call and always returns an answer or a refusal, with this home's
 // load.
 func (h *Home) Serve(ctx context.Context, call *teaseltack.Call) *teaseltack.Answer {
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -32,15 +32,23 @@
 }
 
 func newHome(t *testing.T) (*home.Home, *server) {
+	t.Helper()
+	return newHomeFor(t, func(*home.Config) {})
+}
+
+// newHomeFor returns a home whose configuration is changed by the function.
+func newHomeFor(t *testing.T, change func(*home.Config)) (*home.Home, *server) {
 	t.Helper()
 	timers, source := clock.Clock{}, random.New()
 	gate := admit.New(admit.Config{Timers: timers, Slots: 4, Connections: 4, MaxWait: time.Second})
 	tickets := ticket.New(ticket.Config{Timers: timers, Rand: source, Host: "h", Incarnation: incarnation, Lifetime: time.Minute, MaxRecords: 10, MaxKeptBytes: 100})
 	s := &server{runs: make(chan teaseltack.Nonce, 10), release: make(chan struct{})}
-	h := home.New(home.Config{
+	cfg := home.Config{
 		Timers: timers, Host: "h", Gate: gate, Server: s, Tickets: tickets,
 		Scopes: scope.New(scope.Config{Rand: source}), Levels: levels.New(levels.Config{Timers: timers}),
-	})
+	}
+	change(&cfg)
+	h := home.New(cfg)
 	h.SetServing("till", teaseltack.Ready)
 	t.Cleanup(func() {
 		h.Close()
--- a/core/home/run.go
+++ b/core/home/run.go
@@ -36,7 +36,7 @@
 // attempt waits for admission, repeats the checks whose result may have changed
 // during the wait, and dispatches the call.
 func (h *Home) attempt(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Answer {
-	if refusal := h.checkServing(call.Target.Service); refusal != nil {
+	if refusal := h.checkCall(call); refusal != nil {
 		return refusedAnswer(call, refusal)
 	}
 	w, refusal := h.awaitAdmission(ctx, call)
@@ -81,7 +81,7 @@
 func (h *Home) beginDispatch(ctx context.Context, call *teaseltack.Call, key teaseltack.Ticket) *teaseltack.Refusal {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if refusal := h.checkServingLocked(call.Target.Service); refusal != nil {
+	if refusal := h.checkCallLocked(call); refusal != nil {
 		return refusal
 	}
 	if ctx.Err() != nil {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -52,6 +52,11 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// Sends reports whether the rule sends some of its requests to the service.
+func (r *Rule) Sends(service teaseltack.Service) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service })
+}
+
 // Limits limit what a caller may send.
 type Limits struct {
 	HeaderBytes int
--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -64,6 +64,9 @@
 	spare []byte
 	// flushing is set while a sender writes the queue.
 	flushing bool
+	// sentDocument is the generation of the last document that was queued ahead of a
+	// refusal.
+	sentDocument teaseltack.Generation
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -405,9 +408,14 @@
 func (c *conn) sendAnswer(number uint64, a *teaseltack.Answer) {
 	message := wire.Codec{}.AnswerOut(a)
 	message.RequestId = ""
-	generation, _ := c.links.cfg.Current()
+	generation, document := c.links.cfg.Current()
 	message.Generation = uint64(generation)
-	c.send(&peerv1.Frame{Number: number, Answer: message})
+	frame := &peerv1.Frame{Number: number, Answer: message}
+	if a.Refusal == nil || a.Refusal.Reason != teaseltack.ReasonConfiguration {
+		c.send(frame)
+		return
+	}
+	c.sendAfterDocument(frame, generation, document)
 }
 
 // close closes the connection once, cancels the peer's calls and fails the pending
--- a/io/link/learn_test.go
+++ b/io/link/learn_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -55,3 +56,24 @@
 	assert.NilError(t, err)
 	home.waitForGeneration(t, 2)
 }
+
+// The entry routes the request anew as soon as it is refused.
+func TestARefusalForAnOlderConfigurationComesAfterTheNewerOne(t *testing.T) {
+	entry, home := linkedPair(t)
+	home.generation.Store(2)
+	home.serve = func(_ context.Context, c *teaseltack.Call) *teaseltack.Answer {
+		return &teaseltack.Answer{ID: c.ID, Nonce: c.Nonce, Refusal: teaseltack.Refuse(teaseltack.ReasonConfiguration, "moved")}
+	}
+	refused := make(chan uint64, 50)
+	for range cap(refused) {
+		go func() {
+			answer, err := entry.links.Forward(t.Context(), home.record, routedBy("x", 1))
+			assert.Check(t, err)
+			assert.Check(t, answer != nil && answer.Refusal != nil && answer.Refusal.Reason == teaseltack.ReasonConfiguration)
+			refused <- entry.generation.Load()
+		}()
+	}
+	for range cap(refused) {
+		assert.Equal(t, <-refused, uint64(2), "the configuration of the entry when its call was refused")
+	}
+}
--- a/io/link/send.go
+++ b/io/link/send.go
@@ -29,16 +29,28 @@
 // sendHolding sends a frame whose long body stays in the memory until it is written.
 func (c *conn) sendHolding(f *peerv1.Frame, memory teaseltack.Memory) {
 	c.writing.Lock()
+	c.flushQueued(c.queue(f, memory))
+}
+
+// queue queues a frame. The caller holds c.writing.
+func (c *conn) queue(f *peerv1.Frame, memory teaseltack.Memory) error {
 	appended, body, err := appendFrame(c.queued, f)
 	c.queued = appended
+	if err == nil && body != nil {
+		c.queueBody(body, memory)
+	}
+	return err
+}
+
+// flushQueued writes the queue unless another sender is already writing it, or closes the
+// connection if a frame could not be queued. The caller holds c.writing, which flushQueued
+// releases.
+func (c *conn) flushQueued(err error) {
 	if err != nil {
 		c.writing.Unlock()
 		c.close(err)
 		return
 	}
-	if body != nil {
-		c.queueBody(body, memory)
-	}
 	if c.flushing {
 		c.writing.Unlock()
 		return
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -27,6 +27,7 @@
 	"teaseltack/core/origin"
 	"teaseltack/core/picker"
 	"teaseltack/core/rejoin"
+	"teaseltack/core/reroute"
 	"teaseltack/core/roster"
 	"teaseltack/core/rules"
 	"teaseltack/core/scope"
@@ -194,10 +195,12 @@
 		generation, _ := s.follower.Current()
 		return generation
 	}, OnDrop: s.metrics.LineDropped})
+	router := reroute.New(reroute.Config{Rand: source, Table: func() *rules.Table { return s.follower.Table() }})
 	scopes := scope.New(scope.Config{Rand: source})
 	s.home = home.New(home.Config{
 		Timers: s.timers, Host: host, Gate: s.gate, Server: &server{side: s},
 		Tickets: s.tickets, Scopes: scopes, Levels: s.levels, Origins: s.origins, NestedStats: s.nestedStats, Decisions: s.requestLog,
+		CheckRoute: router.Check,
 	})
 	s.follower = follow.New(follow.Config{
 		Timers: s.timers, Rand: source, Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig,
@@ -221,7 +224,7 @@
 		OnReachability: s.onReachability, MayBeStale: s.follower.MayBeStale,
 	})
 	s.entry = entry.New(entry.Config{
-		Timers: s.timers, Rand: source, Host: host, Policies: s.follower, Picker: s.picker, Levels: s.levels,
+		Timers: s.timers, Rand: source, Host: host, Policies: s.follower, Router: router, Picker: s.picker, Levels: s.levels,
 		Scopes: scopes, Homes: s.links, LocalHome: s.home, Observer: s.metrics, MoveOnRefusal: true, Decisions: s.requestLog,
 		Service: s.service, NestedStats: s.nestedStats, RetryFailed: true,
 		RetryBudget:        budget.Config{Share: retryFraction * c.RetryRatio, Window: seconds(c.RetryWindowS)},
--- a/ports.go
+++ b/ports.go
@@ -96,6 +96,15 @@
 	Policy(target Target) (Policy, bool)
 }
 
+// Router chooses the targets of requests by the configuration in force.
+type Router interface {
+	// Reroute returns the target of the call's request and the generation in force, if the
+	// call was routed by an older one. It returns false if it was not, or if no rule
+	// matches the request any more. The service stays if the configuration in force sends
+	// the request there too.
+	Reroute(call *Call) (Target, Generation, bool)
+}
+
 // PeerClient sends control messages to other daemons. Addresses are IP:port.
 type PeerClient interface {
 	Exchange(ctx context.Context, address string, m Exchange) (Exchange, error)
--- a/verdict.go
+++ b/verdict.go
@@ -57,6 +57,9 @@
 	ReasonAnswerCut      Reason = "answer-cut"
 	ReasonDuplicate      Reason = "duplicate"
 	ReasonAnswerDropped  Reason = "answer-dropped"
+	// ReasonConfiguration is the reason of a call whose entry chose the service by an older
+	// configuration than the home's, which does not send the request there.
+	ReasonConfiguration Reason = "configuration-changed"
 )
 
 // Refusal is the error of a call that has no answer. It carries the verdict.
