Follower: read the key after a failed watch instead of watching again

Callers saw an older configuration for up to 19 s on a host whose watch had failed once. The attempt after a failed watch was a watch too. On a connection that delivers nothing it waits for its 19 s. Where the store answers, the host still counted as stale until that watch returned, after up to 18 s: its polls rested and its peers were asked meanwhile, so a change that this watch missed had no other way in.

After an error the follower reads the key, which is given up after 1 s and, when answered, ends the staleness; then it watches. The pauses grow until a watch succeeds, not a read: otherwise a store that serves reads and refuses watches would be asked without growing pauses.

Evidence, before:

--- FAIL: TestARetryIsGivenUpSoon (0.00s) follow_test.go:362: assertion failed: 4 (generation teaseltack.Generation) != 5 (want teaseltack.Generation) --- FAIL: TestOneFailedWatchDoesNotMakeAHostStale (0.00s) follow_test.go:378: assertion failed: f.MayBeStale() is true

A trial with the read and without the longer pauses:

--- FAIL: TestAStoreThatRefusesWatchesIsAskedLittle (0.00s) follow_test.go:396: assertion failed: reads is greater than seconds + 10: 402 reads in 60 s

After: all pass 20 of 20 times. The last one passed before the change as well.

Ruled out: a shorter watch, which would cost more calls while all is well. Price: one read for each failed watch. While a store swallows calls, a host without a sign from its lease asks once in 1 s and a pause, not once in 19 s and a pause.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -241,22 +241,24 @@
 		next, err := f.step(revision)
 		switch {
 		case err == nil:
-			revision, failures = next, 0
+			if !revision.IsZero() {
+				failures = 0
+			}
 			f.failing.Store(false)
-		case errors.Is(err, teaseltack.ErrCompacted):
-			revision = teaseltack.Revision{}
-		case errors.Is(err, errWatchRestart):
-			revision = teaseltack.Revision{}
+		case errors.Is(err, teaseltack.ErrCompacted), errors.Is(err, errWatchRestart):
 		default:
 			f.failing.Store(true)
 			f.pause(failures)
 			failures++
 		}
+		// After an error the revision is zero: a read of the key is given up sooner than
+		// a watch, and its answer shows that the configuration is not stale.
+		revision = next
 	}
 }
 
 // step reads the key if revision is zero and waits for its next change otherwise. It
-// returns the revision to continue from.
+// returns the revision to continue from, after an error the zero one.
 func (f *Follower) step(revision teaseltack.Revision) (teaseltack.Revision, error) {
 	timeout := callTimeout
 	if !revision.IsZero() {
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -30,6 +30,49 @@
 	down        bool
 	compacted   bool
 	watchBroken bool
+	// watchRefused makes watches fail.
+	watchRefused bool
+	// reads counts the reads of the key.
+	reads int
+	// swallowing makes new calls hang until their contexts end, lost counts how often
+	// the open ones were made to.
+	swallowing bool
+	lost       int
+}
+
+// swallow makes the calls that are open, and new ones until restore, hang until their
+// contexts end.
+func (s *fakeStore) swallow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.swallowing = true
+	s.lost++
+}
+
+// restore makes the store answer new calls again.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.swallowing = false
+}
+
+// isSwallowed reports whether a call that began after lost losses hangs. s.mu must be held.
+func (s *fakeStore) isSwallowed(lost int) bool {
+	return s.swallowing || s.lost > lost
+}
+
+// refuseWatches makes watches fail while the key can be read.
+func (s *fakeStore) refuseWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchRefused = true
+}
+
+// readCount returns how often the key was read.
+func (s *fakeStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
 }
 
 // breakWatch makes watches miss all further changes without an error.
@@ -76,9 +119,16 @@
 	return []teaseltack.Item{{Key: "config", Value: []byte(s.value), Revision: s.at()}}
 }
 
-func (s *fakeStore) Range(context.Context, string) ([]teaseltack.Item, teaseltack.Revision, error) {
+func (s *fakeStore) Range(ctx context.Context, _ string) ([]teaseltack.Item, teaseltack.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
+	if s.swallowing {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return nil, teaseltack.Revision{}, ctx.Err()
+	}
 	if s.down {
 		return nil, teaseltack.Revision{}, errors.New("the store is down")
 	}
@@ -88,9 +138,17 @@
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after teaseltack.Revision, wait time.Duration) ([]teaseltack.Item, teaseltack.Revision, error) {
 	timeout := time.After(wait)
+	s.mu.Lock()
+	lost := s.lost
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		down, items, revision, changed := s.down, s.items(after.Number), s.at(), s.changed
+		if s.isSwallowed(lost) {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return nil, teaseltack.Revision{}, ctx.Err()
+		}
+		down, items, revision, changed := s.down || s.watchRefused, s.items(after.Number), s.at(), s.changed
 		compacted := s.compacted || after.Era != s.era
 		if s.watchBroken {
 			items = nil
@@ -283,3 +341,58 @@
 		assertGeneration(t, f, 9)
 	})
 }
+
+// TestARetryIsGivenUpSoon guards against a change that comes late because the attempt
+// after a failed watch is a watch too, which waits for its whole length on a connection
+// that the network swallowed.
+func TestARetryIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+		f := start(t, store)
+		store.set("4")
+		synctest.Wait()
+		store.setFaults(true, false)
+		synctest.Wait()
+		store.swallow()
+		store.setFaults(false, false)
+		time.Sleep(time.Second)
+		store.restore()
+		store.set("5")
+		time.Sleep(3 * time.Second)
+		assertGeneration(t, f, 5)
+	})
+}
+
+// TestOneFailedWatchDoesNotMakeAHostStale guards against polls that rest, and peers that
+// are asked, for the whole length of the watch after a failed one.
+func TestOneFailedWatchDoesNotMakeAHostStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+		f := start(t, store)
+		synctest.Wait()
+		store.setFaults(true, false)
+		synctest.Wait()
+		assert.Assert(t, f.MayBeStale())
+		store.setFaults(false, false)
+		time.Sleep(time.Second)
+		assert.Assert(t, !f.MayBeStale())
+		store.breakWatch()
+		store.set("5")
+		time.Sleep(4 * time.Second)
+		assertGeneration(t, f, 5)
+	})
+}
+
+// TestAStoreThatRefusesWatchesIsAskedLittle guards against pauses that stay short because
+// a read succeeds between two failed watches.
+func TestAStoreThatRefusesWatchesIsAskedLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+		store.refuseWatches()
+		startPolling(t, store, time.Hour)
+		const seconds = 60
+		time.Sleep(seconds * time.Second)
+		reads := store.readCount()
+		assert.Assert(t, reads <= seconds+10, "%d reads in %d s", reads, seconds)
+	})
+}
