Follower: restart a watch that is open when the store recovers

Callers saw an older configuration after trouble with the store although the host renewed its lease again. StoreRecovered ended a pause of the follower only. A watch that was open while the store was lost stayed, on a connection that may deliver nothing any more, for the rest of its 19 s.

StoreRecovered ends an open watch too, and the key is read again: one read for each recovery, also where the watch had failed. A read in progress is left alone, since it ends within 1 s and then counts as the read of this recovery or is repeated without a pause. A recovery before an attempt no longer cuts short the pause after it. The hosts read when their lease's renewal succeeds, as they did after a pause, so they stay spread by the jitter of the renewals' retries (0.5 to 1.5 of the pause).

What cancels the watch is no longer under the follower's lock: that is held during OnChange, and StoreRecovered is called on the goroutine that renews the lease.

Evidence, before:

--- FAIL: TestAWatchDoesNotOutliveTheRecoveryOfTheStore (0.00s) follow_test.go:414: assertion failed: 4 (generation teaseltack.Generation) != 5 (want teaseltack.Generation) --- FAIL: TestARecoveryDoesNotEndALaterPause (0.00s) follow_test.go:460: assertion failed: 2 (int) != 1 (before int)

TestARecoveryCostsOneRead passed before as well; it bounds the change.

Ruled out: a watch that was opened after the recovery; it is not ended.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -86,12 +86,20 @@
 	mu      sync.Mutex
 	// watchedGeneration is the newest generation that the watch has delivered.
 	watchedGeneration teaseltack.Generation
-	// cancelWatch ends the current watch, so that the key is read again.
-	cancelWatch context.CancelFunc
-	// recovered ends a pause between attempts once the store has recovered.
+	// latest is Run's latest call to the store; nil before the first. It is not under mu,
+	// which is held during OnChange.
+	latest atomic.Pointer[attempt]
+	// recovered ends the pause after an attempt during which the store has recovered.
 	recovered chan struct{}
 }
 
+// attempt is a read or a watch of the key.
+type attempt struct {
+	// cancel ends the attempt, so that the key is read again.
+	cancel context.CancelFunc
+	watch  bool
+}
+
 // New returns a follower without a configuration; Run starts it.
 func New(cfg Config) *Follower {
 	f := &Follower{cfg: cfg, backoff: jitter.New(jitter.Config{Timers: cfg.Timers, Rand: cfg.Rand, First: firstRetryDelay}), recovered: make(chan struct{}, 1)}
@@ -104,12 +112,17 @@
 	f.stop()
 }
 
-// StoreRecovered ends a pause between attempts, since the store is reachable again.
+// StoreRecovered makes Run read the key again, since the store is reachable again: it ends
+// a pause between attempts, and a watch whose connection may have been lost. A read that
+// is in progress is left to its timeout.
 func (f *Follower) StoreRecovered() {
 	select {
 	case f.recovered <- struct{}{}:
 	default:
 	}
+	if a := f.latest.Load(); a != nil && a.watch {
+		a.cancel()
+	}
 }
 
 // StoreReturned makes Run read the key again, since the store has come back from an older
@@ -119,11 +132,8 @@
 }
 
 func (f *Follower) restartWatch() {
-	f.mu.Lock()
-	cancelWatch := f.cancelWatch
-	f.mu.Unlock()
-	if cancelWatch != nil {
-		cancelWatch()
+	if a := f.latest.Load(); a != nil {
+		a.cancel()
 	}
 }
 
@@ -268,9 +278,8 @@
 	defer cancel()
 	watchCtx, cancelWatch := context.WithCancel(ctx)
 	defer cancelWatch()
-	f.mu.Lock()
-	f.cancelWatch = cancelWatch
-	f.mu.Unlock()
+	f.latest.Store(&attempt{cancel: cancelWatch, watch: !revision.IsZero()})
+	f.forgetRecovery()
 	items, next, err := f.read(watchCtx, revision)
 	if watchCtx.Err() != nil && ctx.Err() == nil {
 		return teaseltack.Revision{}, errWatchRestart
@@ -285,6 +294,14 @@
 	return next, nil
 }
 
+// forgetRecovery forgets a recovery of the store before the current attempt.
+func (f *Follower) forgetRecovery() {
+	select {
+	case <-f.recovered:
+	default:
+	}
+}
+
 func (f *Follower) read(ctx context.Context, revision teaseltack.Revision) ([]teaseltack.Item, teaseltack.Revision, error) {
 	if revision.IsZero() {
 		return f.cfg.Store.Range(ctx, f.cfg.Key)
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -396,3 +396,67 @@
 		assert.Assert(t, reads <= seconds+10, "%d reads in %d s", reads, seconds)
 	})
 }
+
+// TestAWatchDoesNotOutliveTheRecoveryOfTheStore guards against a change that comes late
+// because the watch waits on a connection that was lost with the store.
+func TestAWatchDoesNotOutliveTheRecoveryOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+		f := startPolling(t, store, time.Hour)
+		store.set("4")
+		synctest.Wait()
+		store.swallow()
+		time.Sleep(3 * time.Second)
+		store.restore()
+		store.set("5")
+		f.StoreRecovered()
+		synctest.Wait()
+		assertGeneration(t, f, 5)
+		store.set("6")
+		synctest.Wait()
+		assertGeneration(t, f, 6)
+	})
+}
+
+// TestARecoveryCostsOneRead guards against a fleet that reads the key several times for
+// each recovery of the store.
+func TestARecoveryCostsOneRead(t *testing.T) {
+	for name, lose := range map[string]func(*fakeStore){
+		"watch open":   func(s *fakeStore) { s.swallow() },
+		"watch failed": func(s *fakeStore) { s.setFaults(true, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+				f := startPolling(t, store, time.Hour)
+				synctest.Wait()
+				for range 3 {
+					lose(store)
+					time.Sleep(5 * time.Second)
+					store.restore()
+					store.setFaults(false, false)
+					before := store.readCount()
+					f.StoreRecovered()
+					time.Sleep(30 * time.Second)
+					assert.Equal(t, store.readCount()-before, 1)
+				}
+			})
+		})
+	}
+}
+
+// TestARecoveryDoesNotEndALaterPause guards against pauses that an earlier recovery of the
+// store cuts short while the store is down again.
+func TestARecoveryDoesNotEndALaterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+		f := startPolling(t, store, time.Hour)
+		synctest.Wait()
+		f.StoreRecovered()
+		time.Sleep(time.Second)
+		store.setFaults(true, false)
+		before := store.readCount()
+		synctest.Wait()
+		assert.Equal(t, store.readCount(), before)
+	})
+}
