Roster: restart a watch that is open when the store recovers

Callers saw servers that others had known to be gone, or did not see new ones, for up to 19 s after trouble with the store, although the host renewed its lease again. A renewal after failed ones ended the pause of the watch only. A watch that was open while the store was lost stayed on a connection that may deliver nothing any more.

A watch that is open then is ended and all records are read again. Where the watch had failed, it goes on from its revision without a pause, as before: the store returns what was missed, or that its history is gone.

Evidence, before:

--- FAIL: TestAWatchDoesNotOutliveTheRecoveryOfTheStore (0.00s) roster_test.go:766: assertion failed: 0 (recordOfB(a).Slots int) != 7 (int) --- FAIL: TestAFleetReadsOnceAndSpreadAfterARecovery (0.02s) roster_test.go:792: assertion failed: 0 (int) != 60 (count int)

Ruled out: a delay of its own before the read. The renewals that tell of the recovery are spread by the jitter of their retries already.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -103,6 +103,8 @@
 	own teaseltack.Record
 	// cancelWatch ends the current watch, so that all records are read again.
 	cancelWatch context.CancelFunc
+	// watching is set while a watch is open.
+	watching bool
 	// renewalRequested makes the writer renew the lease before it is due.
 	renewalRequested bool
 	// ownRemoved is set when the store has removed this daemon's record.
@@ -321,12 +323,19 @@
 	}
 }
 
-// storeRecovered wakes the watch and calls OnRecover.
+// storeRecovered ends the watch's retry delay, or a watch that is open, whose connection may
+// have been lost, and calls OnRecover.
 func (r *Roster) storeRecovered() {
 	select {
 	case r.wakeWatch <- struct{}{}:
 	default:
 	}
+	r.mu.Lock()
+	watching := r.watching
+	r.mu.Unlock()
+	if watching {
+		r.Refresh()
+	}
 	if r.cfg.OnRecover != nil {
 		r.cfg.OnRecover()
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -34,8 +34,14 @@
 	// silentAfter makes each watch that continues from this revision, or a later one,
 	// hang until its context ends; 0 makes none hang.
 	silentAfter uint64
-	writes      int
-	reads       int
+	// swallowing makes new calls hang until their contexts end, lost counts how often
+	// the open ones were made to.
+	swallowing bool
+	lost       int
+	// listedAt holds the times of the calls of Range.
+	listedAt []time.Time
+	writes   int
+	reads    int
 	// answered counts the successful lists and the watches that returned changes.
 	answered int
 }
@@ -56,6 +62,42 @@
 	s.wakeWatches()
 }
 
+// swallow makes the calls that are open, and new ones until restore, hang until their
+// contexts end.
+func (s *fakeStore) swallow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.swallowing = true
+	s.lost++
+	s.wakeWatches()
+}
+
+// restore makes the store answer new calls again.
+func (s *fakeStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.swallowing = false
+}
+
+// awaitStore hangs while the store swallows calls, and returns an error if it does.
+func (s *fakeStore) awaitStore(ctx context.Context) error {
+	s.mu.Lock()
+	swallowing := s.swallowing
+	s.mu.Unlock()
+	if !swallowing {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// listsSince returns the times of the calls of Range from the given time on.
+func (s *fakeStore) listsSince(from time.Time) []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.listedAt), func(at time.Time) bool { return at.Before(from) })
+}
+
 // removeAll removes all keys and leases, as a store may while it refuses calls.
 func (s *fakeStore) removeAll() {
 	s.mu.Lock()
@@ -126,10 +168,14 @@
 	return s.era
 }
 
-func (s *fakeStore) Range(_ context.Context, prefix string) ([]teaseltack.Item, teaseltack.Revision, error) {
+func (s *fakeStore) Range(ctx context.Context, prefix string) ([]teaseltack.Item, teaseltack.Revision, error) {
+	if err := s.awaitStore(ctx); err != nil {
+		return nil, teaseltack.Revision{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.listedAt = append(s.listedAt, time.Now())
 	if s.down {
 		return nil, teaseltack.Revision{}, errStoreDown
 	}
@@ -146,14 +192,16 @@
 func (s *fakeStore) Watch(ctx context.Context, prefix string, after teaseltack.Revision, wait time.Duration) ([]teaseltack.Item, teaseltack.Revision, error) {
 	timeout := time.After(wait)
 	s.mu.Lock()
-	silent := s.silentAfter > 0 && after.Number >= s.silentAfter
+	silent := s.silentAfter > 0 && after.Number >= s.silentAfter || s.swallowing
+	lost := s.lost
 	s.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-		return nil, teaseltack.Revision{}, ctx.Err()
-	}
 	for {
 		s.mu.Lock()
+		if silent || s.lost > lost {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return nil, teaseltack.Revision{}, ctx.Err()
+		}
 		s.reads++
 		var events []teaseltack.Item
 		for key, item := range s.items {
@@ -185,7 +233,10 @@
 	}
 }
 
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, expected teaseltack.Revision, lease teaseltack.Lease) (teaseltack.Revision, error) {
+func (s *fakeStore) Put(ctx context.Context, key string, value []byte, expected teaseltack.Revision, lease teaseltack.Lease) (teaseltack.Revision, error) {
+	if err := s.awaitStore(ctx); err != nil {
+		return teaseltack.Revision{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
@@ -220,7 +271,10 @@
 	return ok && lease.Era == s.era
 }
 
-func (s *fakeStore) Grant(context.Context, time.Duration) (teaseltack.Lease, error) {
+func (s *fakeStore) Grant(ctx context.Context, _ time.Duration) (teaseltack.Lease, error) {
+	if err := s.awaitStore(ctx); err != nil {
+		return teaseltack.Lease{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
@@ -232,7 +286,10 @@
 	return teaseltack.Lease{Era: s.era, ID: teaseltack.LeaseID(s.revision)}, nil
 }
 
-func (s *fakeStore) KeepAlive(_ context.Context, lease teaseltack.Lease) error {
+func (s *fakeStore) KeepAlive(ctx context.Context, lease teaseltack.Lease) error {
+	if err := s.awaitStore(ctx); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -285,10 +342,16 @@
 
 // startProcess starts a process of the host in own.
 func startProcess(t *testing.T, store *fakeStore, own teaseltack.Record, onPredecessor func(*teaseltack.Record, teaseltack.StoreEra)) *roster.Roster {
+	t.Helper()
+	return startSeeded(t, store, own, onPredecessor, 1)
+}
+
+// startSeeded is startProcess with the seed of the jitter.
+func startSeeded(t *testing.T, store *fakeStore, own teaseltack.Record, onPredecessor func(*teaseltack.Record, teaseltack.StoreEra), seed byte) *roster.Roster {
 	t.Helper()
 	own.Service, own.PeerAddress, own.Version = "s", "10.0.0.1:1", 1
 	r := roster.New(roster.Config{
-		Timers: clock.Clock{}, Rand: random.Seeded(1), Store: store, Prefix: "h/", Own: own,
+		Timers: clock.Clock{}, Rand: random.Seeded(seed), Store: store, Prefix: "h/", Own: own,
 		OnChange: func([]teaseltack.Record) {}, OnStoreResult: func(string, error) {}, OnPredecessor: onPredecessor,
 	})
 	done := make(chan struct{})
@@ -688,6 +751,56 @@
 	})
 }
 
+// TestAWatchDoesNotOutliveTheRecoveryOfTheStore guards against records that come late
+// because the watch waits on a connection that was lost with the store.
+func TestAWatchDoesNotOutliveTheRecoveryOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a, b := start(t, store, "a"), start(t, store, "b")
+		time.Sleep(10 * time.Second)
+		store.swallow()
+		time.Sleep(4 * time.Second)
+		store.restore()
+		b.Update(func(r *teaseltack.Record) { r.Slots = 7 })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, recordOfB(a).Slots, 7)
+	})
+}
+
+// TestAFleetReadsOnceAndSpreadAfterARecovery guards against hosts that read the records
+// several times for each recovery of the store, or all at the same instant.
+func TestAFleetReadsOnceAndSpreadAfterARecovery(t *testing.T) {
+	const count, window = 60, 100 * time.Millisecond
+	const maxPerWindow = count / 4
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		rosters := make([]*roster.Roster, count)
+		for i := range rosters {
+			rosters[i] = startSeeded(t, store, teaseltack.Record{Host: teaseltack.HostID("host-" + string(rune('A'+i)))}, nil, byte(i))
+		}
+		time.Sleep(20 * time.Second)
+		for slots := range 3 {
+			// All watches are opened again, so that none ends by itself in the outage.
+			rosters[0].Update(func(r *teaseltack.Record) { r.Slots = 1 + slots })
+			time.Sleep(5 * time.Second)
+			store.swallow()
+			time.Sleep(6 * time.Second)
+			store.restore()
+			restored := time.Now()
+			time.Sleep(30 * time.Second)
+			lists := store.listsSince(restored)
+			assert.Equal(t, len(lists), count)
+			for i, at := range lists {
+				next := slices.IndexFunc(lists, func(other time.Time) bool { return other.Sub(at) > window })
+				if next < 0 {
+					next = count
+				}
+				assert.Assert(t, next-i <= maxPerWindow, "%d lists within %v", next-i, window)
+			}
+		}
+	})
+}
+
 // recordOfB returns the record of the host b that r knows.
 func recordOfB(r *roster.Roster) teaseltack.Record {
 	for _, record := range r.Records() {
--- a/core/roster/watch.go
+++ b/core/roster/watch.go
@@ -55,12 +55,16 @@
 		r.mu.Lock()
 		r.cancelWatch = cancelWatch
 		reread = r.revision.IsZero()
+		r.watching = !reread
 		r.mu.Unlock()
 		if reread {
 			return nil
 		}
 		var err error
 		items, after, err = r.cfg.Store.Watch(watchCtx, r.cfg.Prefix, after, watchWait)
+		r.mu.Lock()
+		r.watching = false
+		r.mu.Unlock()
 		if watchCtx.Err() != nil && ctx.Err() == nil {
 			reread = true
 			return nil
