Follower: shorter pauses while the store is down

Callers could see an older configuration for more than 7 s after the store was back. The pause of a follower whose host's other calls fail too was up to 1.8 s (1.2 s with jitter) and 5 s, after an attempt of up to 1 s, which includes the dial of 0.7 s: 7.8 s until the first read of the key is sent. A renewal of the lease that succeeds ends the pause, but a store that answers reads and refuses renewals gives no such sign, and the polls rest meanwhile.

The delay is 2 s instead of 5 s: 4.8 s in all. Each host reads more often while the store refuses all calls: 0.326 reads/s instead of 0.170 (the mean of 100 hosts in 100 s), which is 489 instead of 255 reads/s for 1,500 hosts. The pauses of the roster's watch are as before.

Evidence, the longest of 256 seeds and phases, before:

--- FAIL: TestTheKeyIsReadSoonAfterTheStoreIsBack (0.14s) --- FAIL: .../calls_refused (0.07s) follow_test.go:506: assertion failed: longest is greater than limit: 6.07s --- FAIL: .../calls_swallowed (0.07s) follow_test.go:506: assertion failed: longest is greater than limit: 7.62s

After: 3.67 s and 4.65 s. TestADownStoreIsAskedLittle bounds the price at 0.35 reads/s; it passed before as well. The test's store wakes its watches when it swallows them: before, they returned after 18 s as if it had answered.

Ruled out: the case with a sign. Also ruled out: a sign from the roster's reads, which pause as long and would not lower the bound.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -33,8 +33,9 @@
 	firstRetryDelay = 150 * time.Millisecond
 	maxRetryDelay   = 1200 * time.Millisecond
 	// storeDownDelay is added to the pause between attempts while StoreDown reports
-	// true; StoreRecovered ends it.
-	storeDownDelay = 5 * time.Second
+	// true; StoreRecovered ends it. A store that answers reads and refuses other calls
+	// gives no such sign, so the sum of one attempt and the pause after it is below 5 s.
+	storeDownDelay = 2 * time.Second
 )
 
 // errWatchRestart is returned by a watch that checkWatch cancelled.
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -47,6 +47,8 @@
 	defer s.mu.Unlock()
 	s.swallowing = true
 	s.lost++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // restore makes the store answer new calls again.
@@ -187,11 +189,22 @@
 
 func startPolling(t *testing.T, store *fakeStore, period time.Duration) *follow.Follower {
 	t.Helper()
-	f := follow.New(follow.Config{
-		Timers: clock.Clock{}, Rand: random.Seeded(1), Store: store, Key: "config", Decode: decode,
-		PollPeriod: func() time.Duration { return period },
-		OnChange:   func(*rules.Table, string) {}, OnReject: func(error) {}, OnDecoded: func(teaseltack.Generation) {}, OnStoreResult: func(string, error) {},
-	})
+	return run(t, follow.Config{Rand: random.Seeded(1), Store: store, PollPeriod: func() time.Duration { return period }})
+}
+
+// startSeeded starts a follower that does not poll, with the seed of the jitter.
+func startSeeded(t *testing.T, store *fakeStore, seed byte, storeDown func() bool) *follow.Follower {
+	t.Helper()
+	return run(t, follow.Config{Rand: random.Seeded(seed), Store: store, PollPeriod: func() time.Duration { return time.Hour }, StoreDown: storeDown})
+}
+
+// run fills the rest of the configuration and runs a follower until the test's end.
+func run(t *testing.T, cfg follow.Config) *follow.Follower {
+	t.Helper()
+	cfg.Timers, cfg.Key, cfg.Decode = clock.Clock{}, "config", decode
+	cfg.OnChange, cfg.OnReject = func(*rules.Table, string) {}, func(error) {}
+	cfg.OnDecoded, cfg.OnStoreResult = func(teaseltack.Generation) {}, func(string, error) {}
+	f := follow.New(cfg)
 	done := make(chan struct{})
 	go func() {
 		f.Run()
@@ -460,3 +473,57 @@
 		assert.Equal(t, store.readCount(), before)
 	})
 }
+
+// TestTheKeyIsReadSoonAfterTheStoreIsBack guards against pauses that alone take longer
+// than a change may take after trouble with the store, where no other call tells that the
+// store is back: it answers reads and still refuses the renewal of leases.
+func TestTheKeyIsReadSoonAfterTheStoreIsBack(t *testing.T) {
+	const limit = 5 * time.Second
+	for name, lose := range map[string]func(*fakeStore){
+		"calls swallowed": func(s *fakeStore) { s.swallow() },
+		"calls refused":   func(s *fakeStore) { s.setFaults(true, false) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var longest time.Duration
+			for seed := range 256 {
+				synctest.Test(t, func(t *testing.T) {
+					store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+					f := startSeeded(t, store, byte(seed), func() bool { return true })
+					synctest.Wait()
+					lose(store)
+					time.Sleep(30*time.Second + time.Duration(seed)*30*time.Millisecond)
+					store.restore()
+					store.setFaults(false, false)
+					store.set("5")
+					restored := time.Now()
+					for f.Table() == nil {
+						time.Sleep(10 * time.Millisecond)
+					}
+					longest = max(longest, time.Since(restored))
+				})
+			}
+			t.Logf("the longest time was %v", longest)
+			assert.Assert(t, longest <= limit, "%v", longest)
+		})
+	}
+}
+
+// TestADownStoreIsAskedLittle guards against a fleet that keeps a store from coming back.
+// A host's lease asks it every 0.15 to 0.9 s at a tenth of the price meanwhile.
+func TestADownStoreIsAskedLittle(t *testing.T) {
+	const hosts, seconds = 100, 100
+	reads := 0
+	for seed := range hosts {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeStore{era: 1, revision: 1, changed: make(chan struct{})}
+			startSeeded(t, store, byte(seed), func() bool { return true })
+			synctest.Wait()
+			store.setFaults(true, false)
+			time.Sleep(seconds * time.Second)
+			reads += store.readCount()
+		})
+	}
+	perSecond := float64(reads) / hosts / seconds
+	t.Logf("%.3f reads/s of a host", perSecond)
+	assert.Assert(t, perSecond <= 0.35, "%.3f reads/s of a host", perSecond)
+}
