Follower: report a configuration without the lock

What callers saw: after a confirmed change several entries, in all data centres, went on with the older configuration for longer than the limit, though hosts with a working store had been told of the newer one.

Cause: the follower called OnChange under its lock, on the goroutine that had brought the document: the watch's, the poll's or that of another host's reader. OnChange pings other hosts, and a write to a host that takes no bytes may block for 4 s. The next change, the poll, the documents of other hosts and the check for missed changes all waited for it.

A goroutine of its own now calls OnChange without the lock, one call after the other. A configuration that is replaced during a call is skipped, so the last call is always for the one in force.

Ruled out: reporting on the goroutine that brought the document, as the roster does: Run would not read the next change while it reports. A queue of all changes: it would delay the report of the newest one.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -63,10 +63,15 @@
 	// OnDecoded is called without locks with the generation of each document that was
 	// decoded, before it is compared with the one in force.
 	OnDecoded func(generation teaseltack.Generation)
-	// OnChange is called under the follower's lock when a configuration has come
-	// into force, so calls are in the order of generations. from is the source of
-	// the document: store, poll or peer.
-	OnChange func(table *rules.Table, from string)
+	// OnInForce is called under the follower's lock at the moment at which a configuration
+	// comes into force, so calls are in the order of generations. It must not block. from
+	// is the source of the document: store, poll or peer.
+	OnInForce func(table *rules.Table, from string)
+	// OnChange is called without locks, on a goroutine of its own, after a configuration
+	// has come into force. Calls do not overlap and are in the order of generations. A
+	// configuration that is replaced during a call for an earlier one is skipped; the
+	// last call has the one in force. No call begins after Close.
+	OnChange func(table *rules.Table)
 	// OnReject is called without locks when a document could not be decoded, on the
 	// goroutine that called Decode.
 	OnReject func(err error)
@@ -87,9 +92,11 @@
 	mu      sync.Mutex
 	// watchedGeneration is the newest generation that the watch has delivered.
 	watchedGeneration teaseltack.Generation
-	// latest is Run's latest call to the store; nil before the first. It is not under mu,
-	// which is held during OnChange.
+	// latest is Run's latest call to the store; nil before the first.
 	latest atomic.Pointer[attempt]
+	// unreported is set while OnChange has not been called for the configuration in force,
+	// reporting while a goroutine calls it.
+	unreported, reporting bool
 	// recovered ends the pause after an attempt during which the store has recovered.
 	recovered chan struct{}
 }
@@ -108,7 +115,7 @@
 	return f
 }
 
-// Close ends Run.
+// Close ends Run. A call of OnChange that is in progress may outlast it.
 func (f *Follower) Close() {
 	f.stop()
 }
@@ -199,7 +206,26 @@
 	}
 	table := rules.New(*config)
 	f.table.Store(table)
-	f.cfg.OnChange(table, from)
+	f.cfg.OnInForce(table, from)
+	f.unreported = true
+	if !f.reporting {
+		f.reporting = true
+		go f.report()
+	}
+}
+
+// report calls OnChange until no change is left.
+func (f *Follower) report() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer func() { f.reporting = false }()
+	for f.unreported && f.ctx.Err() == nil {
+		f.unreported = false
+		table := f.table.Load()
+		f.mu.Unlock()
+		f.cfg.OnChange(table)
+		f.mu.Lock()
+	}
 }
 
 // checkWatch cancels the watch and calls OnMissedChange if the watch has not
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -195,15 +195,24 @@
 // startSeeded starts a follower that does not poll, with the seed of the jitter.
 func startSeeded(t *testing.T, store *fakeStore, seed byte, storeDown func() bool) *follow.Follower {
 	t.Helper()
-	return run(t, follow.Config{Rand: random.Seeded(seed), Store: store, PollPeriod: func() time.Duration { return time.Hour }, StoreDown: storeDown})
+	return run(t, follow.Config{Rand: random.Seeded(seed), Store: store, StoreDown: storeDown})
 }
 
-// run fills the rest of the configuration and runs a follower until the test's end.
+// run fills the rest of the configuration and runs a follower until the test's end. Without
+// a period it does not poll.
 func run(t *testing.T, cfg follow.Config) *follow.Follower {
 	t.Helper()
 	cfg.Timers, cfg.Key, cfg.Decode = clock.Clock{}, "config", decode
-	cfg.OnChange, cfg.OnReject = func(*rules.Table, string) {}, func(error) {}
-	cfg.OnDecoded, cfg.OnStoreResult = func(teaseltack.Generation) {}, func(string, error) {}
+	if cfg.PollPeriod == nil {
+		cfg.PollPeriod = func() time.Duration { return time.Hour }
+	}
+	if cfg.OnInForce == nil {
+		cfg.OnInForce = func(*rules.Table, string) {}
+	}
+	if cfg.OnChange == nil {
+		cfg.OnChange = func(*rules.Table) {}
+	}
+	cfg.OnReject, cfg.OnDecoded, cfg.OnStoreResult = func(error) {}, func(teaseltack.Generation) {}, func(string, error) {}
 	f := follow.New(cfg)
 	done := make(chan struct{})
 	go func() {
@@ -312,7 +321,8 @@
 		f := follow.New(follow.Config{
 			Timers: clock.Clock{}, Rand: random.Seeded(1), Store: store, Key: "config", Decode: decode,
 			PollPeriod: func() time.Duration { return time.Hour }, OnMissedChange: func() { missed.Add(1) },
-			OnChange: func(*rules.Table, string) {}, OnReject: func(error) {}, OnDecoded: func(teaseltack.Generation) {}, OnStoreResult: func(string, error) {},
+			OnInForce: func(*rules.Table, string) {},
+			OnChange:  func(*rules.Table) {}, OnReject: func(error) {}, OnDecoded: func(teaseltack.Generation) {}, OnStoreResult: func(string, error) {},
 		})
 		go f.Run()
 		synctest.Wait()
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -206,7 +206,7 @@
 		Timers: s.timers, Rand: source, Store: store, Key: platform.ConfigKey, Decode: platform.DecodeConfig,
 		PollPeriod: s.pollPeriod, OnMissedChange: func() { s.roster.Refresh() }, StoreDown: func() bool { return s.roster.WritesFailing() },
 		OnDecoded: func(generation teaseltack.Generation) { s.newest.Heard(generation, 0) },
-		OnChange:  s.onConfig, OnReject: s.onConfigRejected, OnStoreResult: s.onStoreResult,
+		OnInForce: s.onConfigInForce, OnChange: s.onConfig, OnReject: s.onConfigRejected, OnStoreResult: s.onStoreResult,
 	})
 	s.roster = roster.New(roster.Config{
 		Timers: s.timers, Rand: source, Store: store, Prefix: hostPrefix, OnChange: s.onRecords, OnStoreResult: s.onStoreResult, OnRecover: s.follower.StoreRecovered,
@@ -250,15 +250,20 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// onConfig is called under the follower's lock when a configuration has come into
-// force.
-func (s *Sidecar) onConfig(table *rules.Table, from string) {
+// onConfigInForce is called under the follower's lock at the moment at which a
+// configuration comes into force.
+func (s *Sidecar) onConfigInForce(table *rules.Table, from string) {
 	c := table.Config()
 	now := s.timers.Now()
 	s.configuredAt.Store(&now)
 	late := s.newest.InForce(c.Generation)
 	s.metrics.ConfigurationChanged(from, late)
 	s.log.Info("configuration in force", "generation", c.Generation, "rules", len(c.Rules), "from", from, "late-ms", late.Milliseconds())
+}
+
+// onConfig is called after a configuration has come into force, not for one that was
+// replaced meanwhile.
+func (s *Sidecar) onConfig(*rules.Table) {
 	s.resize(s.tracker.Server(), false)
 	s.links.NotifyPeers()
 }
