Link: write pings and pongs aside

What callers saw: a confirmed change reached entries late while other hosts took no bytes (frozen, cut off).

Cause: a ping or a pong that found nobody writing was written by whoever sent it: the goroutine that notifies up to four hosts, one after the other, the timer that compares configurations, the probe of a data centre, or the goroutine that reads the connection. Each waited up to 4 s for a host whose buffers were full, and went on to write what calls had queued meanwhile.

A goroutine of its own now writes the queue if nobody does. Calls and answers are written by their senders as before. Since the reader no longer waits for its pong, a host that pings and reads nothing would fill the memory; pongs are left out while more than 1 MiB is queued.

Evidence, before: TestHostsThatTakeNoBytesDelayNoNoticeToOthers (12.01s) the healthy host was told after 4.00212034s the caller waited for 12.007620033s TestAHostThatTakesNoBytesIsStillRead (2.00s) error is not nil: write pipe: i/o timeout and without the limit on pongs: TestAHostThatTakesNoBytesGetsFewPongs (2.09s) bytes were queued Now all pass, 5 of 5 runs, and the package with -race.

The connections of the tests are pipes, which take a byte only when it is read, as a socket with full buffers.

Ruled out: long bodies, which were written on a goroutine of their own already; a write in progress by another sender, which pings did not wait for before either.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -22,6 +22,9 @@
 	writeTimeout = 4 * time.Second
 	// maxKeptBuffer is the largest write buffer in bytes that is kept for reuse.
 	maxKeptBuffer = 64 << 10
+	// maxQueued is how many bytes may be queued before pongs, which may carry a document
+	// each, are left out: the peer takes no bytes, or gets signs of life enough.
+	maxQueued = 1 << 20
 	// checkPeriod is the period of checking a connection that has pending calls.
 	checkPeriod = 150 * time.Millisecond
 	// suspectAfter is the time without a received frame after which idempotent calls are
@@ -284,8 +287,9 @@
 	c.ping()
 }
 
+// ping sends a ping without waiting until it is written.
 func (c *conn) ping() {
-	c.send(&peerv1.Frame{Ping: c.links.newPing()})
+	c.sendAside(&peerv1.Frame{Ping: c.links.newPing()})
 }
 
 // handleFrame handles a frame. What it holds is released once it is handled, a call once
@@ -319,11 +323,17 @@
 }
 
 // handlePing responds with the generation in force, and with its document if the
-// peer's generation is older. It pings back to receive the peer's document if that is
-// newer.
+// peer's generation is older, unless too much is queued. It pings back to receive the
+// peer's document if that is newer.
 func (c *conn) handlePing(ping *peerv1.Ping) {
 	c.links.heard(ping.Generation, ping.AgeMs)
 	generation, document := c.links.cfg.Current()
+	if ping.Generation > uint64(generation) {
+		defer c.ping()
+	}
+	if c.isClogged() {
+		return
+	}
 	pong := &peerv1.Pong{Generation: uint64(generation), AgeMs: c.links.cfg.Age().Milliseconds()}
 	if uint64(generation) > ping.Generation {
 		pong.Document = document
@@ -331,10 +341,7 @@
 	if ping.Alone {
 		pong.Records = wire.Codec{}.RecordsOut(c.links.cfg.Records())
 	}
-	c.send(&peerv1.Frame{Pong: pong})
-	if ping.Generation > uint64(generation) {
-		c.ping()
-	}
+	c.sendAside(&peerv1.Frame{Pong: pong})
 }
 
 func (c *conn) handlePong(pong *peerv1.Pong) {
--- a/io/link/learn.go
+++ b/io/link/learn.go
@@ -36,5 +36,7 @@
 	if err == nil {
 		err = c.queue(refusal, nil)
 	}
-	c.flushQueued(err)
+	if c.startFlush(err) {
+		c.flush(false)
+	}
 }
--- a/io/link/send.go
+++ b/io/link/send.go
@@ -28,8 +28,23 @@
 
 // sendHolding sends a frame whose long body stays in the memory until it is written.
 func (c *conn) sendHolding(f *peerv1.Frame, memory teaseltack.Memory) {
+	if c.enqueue(f, memory) {
+		c.flush(false)
+	}
+}
+
+// sendAside queues a frame and returns at once; a goroutine of its own writes the queue. It
+// is for senders that also serve other connections, or that read this one.
+func (c *conn) sendAside(f *peerv1.Frame) {
+	if c.enqueue(f, nil) {
+		go c.flush(true)
+	}
+}
+
+// enqueue queues a frame. It reports whether the caller has to flush the queue.
+func (c *conn) enqueue(f *peerv1.Frame, memory teaseltack.Memory) bool {
 	c.writing.Lock()
-	c.flushQueued(c.queue(f, memory))
+	return c.startFlush(c.queue(f, memory))
 }
 
 // queue queues a frame. The caller holds c.writing.
@@ -42,22 +57,27 @@
 	return err
 }
 
-// flushQueued writes the queue unless another sender is already writing it, or closes the
-// connection if a frame could not be queued. The caller holds c.writing, which flushQueued
-// releases.
-func (c *conn) flushQueued(err error) {
+// startFlush reports whether the caller has to flush the queue, and closes the connection if
+// a frame could not be queued. The caller holds c.writing, which startFlush releases.
+func (c *conn) startFlush(err error) bool {
 	if err != nil {
 		c.writing.Unlock()
 		c.close(err)
-		return
+		return false
 	}
+	defer c.writing.Unlock()
 	if c.flushing {
-		c.writing.Unlock()
-		return
+		return false
 	}
 	c.flushing = true
-	c.writing.Unlock()
-	c.flush(false)
+	return true
+}
+
+// isClogged reports whether more than maxQueued bytes wait for a write in progress.
+func (c *conn) isClogged() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return len(c.queued) > maxQueued
 }
 
 // isWriting reports whether queued frames are still being written.
