Link: let no sender wait for a host that takes no bytes

What callers saw: calls to a frozen host ended up to 3.8 s after they were sent, though they live for 1 s; such a call could not be sent to another home in time.

Cause: short frames are written by their sender, and the write does not end with the call. The sender whose frame filled the buffers of the host waited for up to 4 s, one call on each connection; the others only queued.

A sender now writes for 10 ms at most, the frames of others included, and leaves the rest to a goroutine of its own, as it did for long bodies. The order of bytes stays, since the rest is written first and nobody else writes meanwhile.

TestAnswersArriveWholeAtAHostThatReadsSlowly guards the rest of a frame; it fails if the whole is written again and if the buffer of the rest is reused (3 of 3 runs each).

Ruled out: a goroutine for each frame, which would cost calls that are not stuck.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -20,6 +20,9 @@
 	readBuffer = 8 << 10
 	// writeTimeout bounds one write, since a peer may have stopped reading.
 	writeTimeout = 4 * time.Second
+	// senderTime bounds the time for which a sender writes frames itself, those that others
+	// queue meanwhile included.
+	senderTime = 10 * time.Millisecond
 	// maxKeptBuffer is the largest write buffer in bytes that is kept for reuse.
 	maxKeptBuffer = 64 << 10
 	// maxQueued is how many bytes may be queued before pongs, which may carry a document
--- a/io/link/send.go
+++ b/io/link/send.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"errors"
+	"os"
 	"time"
 
 	"teaseltack"
@@ -98,9 +100,13 @@
 }
 
 // flush writes the queue until it is empty or a write fails; what is left then is dropped.
-// Long bodies are written on a goroutine of their own, so that no sender waits longer than
-// its call does. The caller has set c.flushing.
+// A sender writes for senderTime at most and no long bodies, so that it waits no longer than
+// its call does; a goroutine of its own goes on. The caller has set c.flushing.
 func (c *conn) flush(onOwnGoroutine bool) {
+	var end time.Time
+	if !onOwnGoroutine {
+		end = time.Now().Add(senderTime)
+	}
 	c.writing.Lock()
 	var err error
 	for err == nil && len(c.parts)+len(c.queued) > 0 {
@@ -109,7 +115,7 @@
 			go c.flush(true)
 			return
 		}
-		err = c.writeQueue()
+		err = c.writeQueue(end)
 	}
 	c.flushing = false
 	if err != nil {
@@ -122,17 +128,24 @@
 	}
 }
 
-// writeQueue writes what is queued now. The caller holds c.writing, which writeQueue
-// releases while it writes.
-func (c *conn) writeQueue() error {
+// writeQueue writes what is queued now; what is not written at the end, unless that is zero,
+// becomes the first of the parts. The caller holds c.writing, which writeQueue releases while
+// it writes.
+func (c *conn) writeQueue(end time.Time) error {
 	parts, batch := c.parts, c.queued
 	c.parts, c.queued = nil, c.spare[:0]
 	c.writing.Unlock()
 	err := c.writeParts(parts)
+	var rest []byte
 	if err == nil {
-		err = c.write(batch)
+		rest, err = c.write(batch, end)
 	}
 	c.writing.Lock()
+	if !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.parts = append([]part{{bytes: rest}}, c.parts...)
+		c.spare = nil
+		return nil
+	}
 	if c.spare = batch; cap(batch) > maxKeptBuffer {
 		c.spare = nil
 	}
@@ -142,7 +155,7 @@
 // writeParts writes the parts and releases them, those that are not written too.
 func (c *conn) writeParts(parts []part) error {
 	for i, p := range parts {
-		if err := c.write(p.bytes); err != nil {
+		if _, err := c.write(p.bytes, time.Time{}); err != nil {
 			releaseAll(parts[i:])
 			return err
 		}
@@ -157,16 +170,21 @@
 	}
 }
 
-// write writes bytes, partBytes at once, so that a peer that reads a long frame slowly
-// gets writeTimeout for each part.
-func (c *conn) write(bytes []byte) error {
+// write writes bytes until the end and returns the rest. If the end is zero, it writes
+// partBytes at once, so that a peer that reads a long frame slowly gets writeTimeout for each
+// part.
+func (c *conn) write(bytes []byte, end time.Time) (rest []byte, err error) {
 	for len(bytes) > 0 {
-		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		deadline := end
+		if end.IsZero() {
+			deadline = time.Now().Add(writeTimeout)
+		}
+		_ = c.nc.SetWriteDeadline(deadline)
 		n, err := c.nc.Write(bytes[:min(len(bytes), partBytes)])
+		bytes = bytes[n:]
 		if err != nil {
-			return err
+			return bytes, err
 		}
-		bytes = bytes[n:]
 	}
-	return nil
+	return nil, nil
 }
--- a/io/link/stalled_test.go
+++ b/io/link/stalled_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +19,7 @@
 	"teaseltack"
 	peerv1 "teaseltack/gen/teaseltack/peer/v1"
 	"teaseltack/io/link"
+	"teaseltack/io/wire"
 )
 
 // soon is much less than the time after which a write fails.
@@ -142,3 +147,63 @@
 	stalled.write(t, &peerv1.Frame{Ping: &peerv1.Ping{}})
 	assert.Equal(t, len(stalled.read(t).GetPong().GetDocument()), len(document))
 }
+
+// Guards against a caller that waits beyond its deadline since its call is the one that
+// fills the buffers of a host that takes no bytes.
+func TestCallsToAHostThatTakesNoBytesEndInTime(t *testing.T) {
+	a := newNode(t, "a")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	record := teaseltack.Record{Host: "silent", PeerAddress: listener.Addr().String()}
+	forward := func(id string, limit time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		c := call(id, false)
+		c.Payload.Body = make([]byte, 15<<10)
+		_, err := a.links.Forward(ctx, record, c)
+		assert.Check(t, err != nil)
+	}
+	forward("first", soon/20)
+	start := time.Now()
+	var calls sync.WaitGroup
+	for i := range 1000 {
+		calls.Go(func() { forward(strconv.Itoa(i), soon/4) })
+	}
+	calls.Wait()
+	took := time.Since(start)
+	assert.Assert(t, took < soon, "the last call ended after %v, its deadline was %v", took, soon/4)
+}
+
+// slowConn takes some bytes at a time and pauses before each.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(p []byte) (int, error) {
+	time.Sleep(6 * time.Millisecond)
+	return c.Conn.Read(p)
+}
+
+// Guards against bytes that are lost or written twice when a sender leaves the rest of its
+// frame to another goroutine.
+func TestAnswersArriveWholeAtAHostThatReadsSlowly(t *testing.T) {
+	n := newNodeWith(t, "a", noPeriods{})
+	slow := listenOnPipes(t, n).dial(t)
+	slow.reader = bufio.NewReader(slowConn{slow.conn})
+	const bursts, size = 5, 10
+	for range bursts {
+		go func() {
+			for i := range uint64(size) {
+				c := call(strconv.FormatUint(i, 10), false)
+				c.Payload.Body = bytes.Repeat([]byte{'a' + byte(i)}, 10<<10)
+				slow.write(t, &peerv1.Frame{Number: i, Call: wire.Codec{}.CallOut("a", c, time.Now())})
+				time.Sleep(2 * time.Millisecond)
+			}
+		}()
+		answered := map[uint64]bool{}
+		for len(answered) < size {
+			frame := slow.read(t)
+			answered[frame.Number] = true
+			assert.Assert(t, bytes.Equal(frame.GetAnswer().GetBody(), bytes.Repeat([]byte{'a' + byte(frame.Number)}, 10<<10)), "answer %d differs", frame.Number)
+		}
+	}
+}
