Link: replace links on which a comparison gets no response

What callers saw: requests of a data centre whose store turned its hosts away were run by the service that only an older configuration names, for as long as the store did.

Cause: a link was checked only while it had calls in progress. On a link without calls, pings were written and nobody waited for the response. A link that was dead without a reset, such as behind a proxy that acknowledges what it swallows, was kept and pinged again and again, and no change passed over it.

Ruled out: the kernel's user timeout, which ends a link on which nothing is acknowledged; here something on the way acknowledges.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -290,6 +290,16 @@
 	c.ping()
 }
 
+// compare exchanges the generation in force with the peer. A connection that was dialled
+// here and carries no response is replaced.
+func (c *conn) compare() {
+	if c.peer == nil {
+		c.ping()
+		return
+	}
+	c.probe()
+}
+
 // ping sends a ping without waiting until it is written.
 func (c *conn) ping() {
 	c.sendAside(&peerv1.Frame{Ping: c.links.newPing()})
--- a/io/link/contacts.go
+++ b/io/link/contacts.go
@@ -67,7 +67,7 @@
 	for _, c := range append(l.oneOfEachDataCentre(), l.pickConns(count)...) {
 		if !pinged[c] {
 			pinged[c] = true
-			c.ping()
+			c.compare()
 		}
 	}
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -303,7 +303,7 @@
 		return
 	}
 	for _, c := range l.pickConns(1) {
-		c.ping()
+		c.compare()
 	}
 }
 
