Cuts: lost stores, frozen hosts and silent links

Scenarios in which some hosts lose the store and get it back, hosts are frozen while a series of changes runs, the links of a data centre are silent, and the store is lost meanwhile. Ports of ways are held from their choice on: a process that is being started inherits listeners until it executes.

--- a/e2e/cuts/cuts_test.go
+++ b/e2e/cuts/cuts_test.go
@@ -13,12 +13,15 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 var (
 	program   = flag.String("cuts.program", "", "program to test; empty builds it")
 	firstSeed = flag.Uint64("cuts.seed", 1, "first seed")
 	seedCount = flag.Uint64("cuts.seeds", 1, "number of consecutive seeds")
+	withLogs  = flag.Bool("cuts.logs", false, "print the daemons' lines of scenarios that pass, too")
 	warmUp    = flag.Duration("cuts.warm", time.Second, "time with requests before the trouble")
 )
 
@@ -52,6 +55,10 @@
 }{
 	{"store-turns-centre-away", turnCentreAway},
 	{"open-store-connections-silent", silenceOpenStoreConnections},
+	{"store-lost-to-some-hosts", loseStoreAtSome},
+	{"hosts-frozen", freezeSome},
+	{"links-of-centre-silent", silenceLinks},
+	{"store-lost-while-links-silent", loseStoreWhileLinksSilent},
 }
 
 func TestChangesAreInForceInTime(t *testing.T) {
@@ -101,7 +108,7 @@
 	inside, _ := w.centre()
 	for _, h := range inside {
 		w.begin(&h.away)
-		h.front.turnAway(true)
+		h.front.turnAway()
 	}
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
@@ -117,3 +124,109 @@
 	w.pause(0, 500*time.Millisecond)
 	w.change()
 }
+
+// loseStoreAtSome changes the configuration while some hosts do not reach the store, and
+// again once they do.
+func loseStoreAtSome(w *world) {
+	hosts := w.some(3 + w.random.IntN(4))
+	for _, h := range hosts {
+		w.loseStore(h)
+	}
+	back := time.After(4*time.Second + time.Duration(w.random.Int64N(int64(5*time.Second))))
+	w.pause(0, 2*time.Second)
+	w.change()
+	<-back
+	for _, h := range hosts {
+		w.returnStore(h)
+	}
+	w.pause(0, time.Second)
+	w.change()
+}
+
+// freezeSome runs a series of changes while some hosts are frozen.
+func freezeSome(w *world) {
+	hosts := w.some(3)
+	for _, h := range hosts {
+		w.freeze(h)
+	}
+	for range 8 {
+		w.pause(100*time.Millisecond, 900*time.Millisecond)
+		w.change()
+	}
+	for _, h := range hosts {
+		w.thaw(h)
+	}
+	w.pause(0, time.Second)
+	w.change()
+}
+
+// silenceLinks runs a series of changes while the links between a data centre and the
+// others are silent.
+func silenceLinks(w *world) {
+	restore := w.silenceCentre()
+	for range 6 {
+		w.pause(100*time.Millisecond, 1500*time.Millisecond)
+		w.change()
+	}
+	restore()
+	w.pause(0, time.Second)
+	w.change()
+}
+
+// loseStoreWhileLinksSilent loses the store at all hosts while the links between a data
+// centre and the others are silent, and changes the configuration before and after its
+// return.
+func loseStoreWhileLinksSilent(w *world) {
+	restore := w.silenceCentre()
+	for _, h := range w.hosts {
+		w.begin(&h.isolated)
+		w.loseStore(h)
+	}
+	w.pause(0, 3*time.Second)
+	w.change()
+	w.pause(0, 3*time.Second)
+	for _, h := range w.hosts {
+		w.returnStore(h)
+		w.end(&h.isolated)
+	}
+	for range 3 {
+		w.pause(0, 2*time.Second)
+		w.change()
+	}
+	restore()
+}
+
+// loseStore cuts the host's way to the store or makes it silent.
+func (w *world) loseStore(h *host) {
+	w.begin(&h.away)
+	if w.random.IntN(2) == 0 {
+		h.front.way.cut()
+		return
+	}
+	h.front.way.silence()
+}
+
+// returnStore ends loseStore.
+func (w *world) returnStore(h *host) {
+	assert.NilError(w.t, h.front.way.restore())
+	w.end(&h.away)
+}
+
+// silenceCentre makes the links between a random data centre and the others silent.
+func (w *world) silenceCentre() (restore func()) {
+	var links []*way
+	inside, outside := w.centre()
+	for _, a := range inside {
+		for _, b := range outside {
+			links = append(links, a.links[b], b.links[a])
+		}
+	}
+	for _, link := range links {
+		link.silence()
+	}
+	return func() {
+		for _, link := range links {
+			assert.NilError(w.t, link.restore())
+		}
+	}
+}
--- a/e2e/cuts/judge_test.go
+++ b/e2e/cuts/judge_test.go
@@ -72,6 +72,11 @@
 	return due
 }
 
+// isIsolated reports whether the host is excused at the time.
+func (h *host) isIsolated(at time.Time) bool {
+	return slices.ContainsFunc(h.isolated, func(s span) bool { return at.After(s.from) && at.Before(s.to.Add(isolatedLimit)) })
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -114,14 +119,19 @@
 				continue
 			}
 			age := r.sent.Sub(w.changes[m].confirmed)
-			oldest[m] = max(oldest[m], age)
+			if !r.host.isIsolated(r.sent) {
+				oldest[m] = max(oldest[m], age)
+			}
 			if m <= due {
 				key := fmt.Sprintf("change %d at %s of %s, run by %s", m, r.host.name, r.host.centre, service)
 				late[key] = max(late[key], age)
 			}
 		}
 	}
-	w.t.Logf("%d writes, %v judged by each change; last one by an older service sent %v after the change", len(w.requests), judged, oldest)
+	w.t.Logf("%d writes, %v judged by each change; the last one by an older service, at hosts not excused, sent %v after the change", len(w.requests), judged, oldest)
+	if *withLogs {
+		w.t.Log(w.logs())
+	}
 	assert.Check(w.t, judged[len(judged)-1] > 0, "no write was judged by the last change")
 	assert.Check(w.t, len(late) == 0, "late: %v\n%s", late, w.logs())
 }
--- a/e2e/cuts/way_test.go
+++ b/e2e/cuts/way_test.go
@@ -14,8 +14,6 @@
 	"testing"
 	"time"
 	"unsafe"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
@@ -58,18 +56,12 @@
 
 func newWay(t *testing.T) *way {
 	t.Helper()
-	w := &way{address: freeAddress(t), done: make(chan struct{}), conns: map[*wayConn]bool{}}
-	assert.NilError(t, w.listenLocked())
+	listener := listenFree(t)
+	w := &way{address: listener.Addr().String(), listener: listener, done: make(chan struct{}), conns: map[*wayConn]bool{}}
 	t.Cleanup(func() { _ = w.Close() })
 	return w
 }
 
-// listenLocked opens the listener.
-func (w *way) listenLocked() (err error) {
-	w.listener, err = listen(w.address)
-	return err
-}
-
 // listen opens a listener without MPTCP, on which the kernel refuses packet filters.
 func listen(address string) (*net.TCPListener, error) {
 	var config net.ListenConfig
@@ -182,7 +174,9 @@
 	case silent:
 		return dropPackets(w.listener, false)
 	case cut:
-		return w.listenLocked()
+		var err error
+		w.listener, err = listen(w.address)
+		return err
 	}
 	return nil
 }
--- a/e2e/cuts/world_test.go
+++ b/e2e/cuts/world_test.go
@@ -38,8 +38,8 @@
 	startTimeout    = 15 * time.Second
 )
 
-// services has more services than a data centre has hosts, so that some requests leave it.
-var services = []string{"orders", "till", "stock", "mail"}
+// allServices has more services than a data centre has hosts.
+var allServices = []string{"orders", "till", "stock", "mail"}
 
 // world is a set of daemons that run as processes on a fake of the platform.
 type world struct {
@@ -47,6 +47,9 @@
 	random *rand.Rand
 	store  *fake.Store
 	hosts  []*host
+	// services are all services or, so that no request needs to leave its data centre, as
+	// many as a data centre has hosts.
+	services []string
 	// read is the service of the rule that does not change.
 	read string
 
@@ -80,29 +83,35 @@
 
 var usedPorts sync.Map
 
-// freeAddress returns an address whose port is below the kernel's range for outgoing
-// connections. All ports have five digits.
-func freeAddress(t *testing.T) string {
+// listenFree listens on a port below the kernel's range for outgoing connections. All ports
+// have five digits.
+func listenFree(t *testing.T) *net.TCPListener {
 	t.Helper()
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
 		if _, taken := usedPorts.LoadOrStore(address, true); taken {
 			continue
 		}
-		listener, err := listen(address)
-		if err == nil {
-			_ = listener.Close()
-			return address
+		if listener, err := listen(address); err == nil {
+			return listener
 		}
 	}
 	t.Fatal("found no free port")
-	return ""
+	return nil
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener := listenFree(t)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
 }
 
 // newWorld starts the daemons and sends requests to them until the test ends.
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 0)), store: fake.NewStore()}
-	w.read = services[w.random.IntN(len(services))]
+	w.services = allServices[:hostsPerCentre+w.random.IntN(2)]
+	w.read = w.services[w.random.IntN(len(w.services))]
 	w.change()
 	for i := range centreCount * hostsPerCentre {
 		w.addHost(i)
@@ -132,12 +141,12 @@
 
 func (w *world) addHost(i int) {
 	h := &host{
-		name: fmt.Sprintf("host-%d", i), centre: fmt.Sprintf("centre-%d", i/hostsPerCentre), service: services[i%len(services)],
+		name: fmt.Sprintf("host-%d", i), centre: fmt.Sprintf("centre-%d", i/hostsPerCentre), service: w.services[i%len(w.services)],
 		outer: freeAddress(w.t), ready: freeAddress(w.t), announce: freeAddress(w.t), peering: freeAddress(w.t),
 		links: map[*host]*way{},
 	}
 	server, err := fake.NewServer(fake.ServerConfig{
-		Service: h.service, Address: freeAddress(w.t), Instance: "i-" + h.name, Slots: 16, Work: 2 * time.Millisecond, HeartbeatPeriod: 200 * time.Millisecond,
+		Service: h.service, Address: "127.0.0.1:0", Instance: "i-" + h.name, Slots: 16, Work: 2 * time.Millisecond, HeartbeatPeriod: 200 * time.Millisecond,
 	})
 	assert.NilError(w.t, err)
 	w.t.Cleanup(server.Close)
@@ -227,24 +236,23 @@
 	return body
 }
 
-// turnAway makes the store answer 503 to the host and resets its open calls, or ends that.
-func (f *front) turnAway(on bool) {
-	f.away.Store(on)
-	if on {
-		f.way.reset()
-	}
+// turnAway makes the store answer 503 to the host from now on and resets its open calls.
+func (f *front) turnAway() {
+	f.away.Store(true)
+	f.way.reset()
 }
 
 // change writes a configuration in which another service runs the writes.
 func (w *world) change() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	service := services[(len(w.changes)+1+w.random.IntN(len(services)-1))%len(services)]
-	if n := len(w.changes); n > 0 && service == w.changes[n-1].service {
-		service = services[(n+1)%len(services)]
+	next := w.random.IntN(len(w.services))
+	if n := len(w.changes); n > 0 && w.services[next] == w.changes[n-1].service {
+		next = (next + 1) % len(w.services)
 	}
+	service := w.services[next]
 	var clusters []string
-	for _, s := range services {
+	for _, s := range w.services {
 		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health_path":"/health","max_conns":100}`, s))
 	}
 	const rule = `{"name":%q,"kind":%q,"target_latency_s":1,"priority":0,"match":{"prefix":%q},"action":{"service":%q,"timeout_s":1,"max_attempts":2}}`
