Cuts: send no request before the hosts know their data centre

Otherwise the first requests open links between the data centres that a fleet in operation need not have. A host that is turned away learns the era.

--- a/e2e/cuts/world_test.go
+++ b/e2e/cuts/world_test.go
@@ -36,6 +36,9 @@
 	// requestDeadline is the deadline of each request.
 	requestDeadline = time.Second
 	startTimeout    = 15 * time.Second
+	// discoveryTime is the time from the readiness of all hosts to the first request. Each
+	// host then knows the servers of its own data centre and opens no links out of it.
+	discoveryTime = 500 * time.Millisecond
 )
 
 // allServices has more services than a data centre has hosts.
@@ -122,9 +125,9 @@
 	for _, h := range w.hosts {
 		w.start(h)
 	}
-	for _, h := range w.hosts {
-		w.awaitService(h)
-	}
+	w.awaitAll("readiness", (*host).isReady)
+	time.Sleep(discoveryTime)
+	w.awaitAll("service", (*host).serves)
 	ctx, cancel := context.WithCancel(context.Background())
 	var requests sync.WaitGroup
 	for _, h := range w.hosts {
@@ -202,6 +205,7 @@
 // ServeHTTP serves one call of the host.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if f.away.Load() {
+		w.Header().Set("Store-Era", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -264,18 +268,33 @@
 
 var attempts atomic.Int64
 
-// awaitService waits until the daemon serves requests of both rules.
-func (w *world) awaitService(h *host) {
-	client := &http.Client{Timeout: requestDeadline}
+// awaitAll waits until all hosts fulfil the condition.
+func (w *world) awaitAll(what string, done func(*host) bool) {
 	end := time.Now().Add(startTimeout)
-	for send(client, h, http.MethodGet, "/read/x").status != http.StatusOK || send(client, h, http.MethodPost, "/write/x").status != http.StatusOK {
-		if time.Now().After(end) {
-			w.t.Fatalf("no service at %s within %v\n%s", h.name, startTimeout, w.logs())
+	for _, h := range w.hosts {
+		for !done(h) {
+			if time.Now().After(end) {
+				w.t.Fatalf("no %s at %s within %v\n%s", what, h.name, startTimeout, w.logs())
+			}
+			time.Sleep(20 * time.Millisecond)
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+func (h *host) isReady() bool {
+	response, err := http.Get("http://" + h.ready + "/teaseltack/readiness")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (h *host) serves() bool {
+	client := &http.Client{Timeout: requestDeadline}
+	return send(client, h, http.MethodGet, "/read/x").status == http.StatusOK && send(client, h, http.MethodPost, "/write/x").status == http.StatusOK
+}
+
 func (w *world) sendRequests(ctx context.Context, h *host, method, path string) {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: requestDeadline + requestDeadline/2}
 	defer client.CloseIdleConnections()
