Cuts: connections whose data is swallowed, and dead links

A proxy that acknowledges data and drops it leaves connections open that no keep-alive probe and no user timeout of the kernel detects. Stores and links fall silent in either way. New scenario: the store turns a data centre away whose links to the others are dead.

--- a/e2e/cuts/cuts_test.go
+++ b/e2e/cuts/cuts_test.go
@@ -54,6 +54,7 @@
 	cause func(w *world)
 }{
 	{"store-turns-centre-away", turnCentreAway},
+	{"store-turns-centre-away-behind-dead-links", turnCentreAwayBehindDeadLinks},
 	{"open-store-connections-silent", silenceOpenStoreConnections},
 	{"store-lost-to-some-hosts", loseStoreAtSome},
 	{"hosts-frozen", freezeSome},
@@ -106,20 +107,33 @@
 
 func turnCentreAway(w *world) {
 	inside, _ := w.centre()
-	for _, h := range inside {
-		w.begin(&h.away)
-		h.front.turnAway()
-	}
+	w.turnAway(inside)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 	w.pause(0, time.Second)
 	w.change()
 }
 
+// turnCentreAwayBehindDeadLinks kills the open links between a data centre and the others
+// before the store turns the data centre away; new links work.
+func turnCentreAwayBehindDeadLinks(w *world) {
+	inside, outside := w.centre()
+	for _, link := range linksBetween(inside, outside) {
+		link.swallowOpen()
+	}
+	w.turnAway(inside)
+	w.pause(0, 1500*time.Millisecond)
+	w.change()
+}
+
 func silenceOpenStoreConnections(w *world) {
+	silence := (*way).silenceOpen
+	if w.random.IntN(2) == 0 {
+		silence = (*way).swallowOpen
+	}
 	for _, h := range w.hosts {
 		w.begin(&h.away)
-		h.front.way.silenceOpen()
+		silence(h.front.way)
 	}
 	w.pause(0, 500*time.Millisecond)
 	w.change()
@@ -128,7 +142,7 @@
 // loseStoreAtSome changes the configuration while some hosts do not reach the store, and
 // again once they do.
 func loseStoreAtSome(w *world) {
-	hosts := w.some(3 + w.random.IntN(4))
+	hosts := w.some(3 + w.random.IntN(6))
 	for _, h := range hosts {
 		w.loseStore(h)
 	}
@@ -196,14 +210,19 @@
 	restore()
 }
 
-// loseStore cuts the host's way to the store or makes it silent.
+// turnAway makes the store turn the hosts away.
+func (w *world) turnAway(hosts []*host) {
+	for _, h := range hosts {
+		w.begin(&h.away)
+		h.front.turnAway()
+	}
+}
+
+// loseStore cuts the host's way to the store, makes it silent or lets it swallow all data.
 func (w *world) loseStore(h *host) {
 	w.begin(&h.away)
-	if w.random.IntN(2) == 0 {
-		h.front.way.cut()
-		return
-	}
-	h.front.way.silence()
+	lose := []func(*way){(*way).cut, (*way).silence, (*way).swallow}
+	lose[w.random.IntN(len(lose))](h.front.way)
 }
 
 // returnStore ends loseStore.
@@ -212,17 +231,16 @@
 	w.end(&h.away)
 }
 
-// silenceCentre makes the links between a random data centre and the others silent.
+// silenceCentre makes the links between a random data centre and the others silent, or lets
+// them swallow all data.
 func (w *world) silenceCentre() (restore func()) {
-	var links []*way
-	inside, outside := w.centre()
-	for _, a := range inside {
-		for _, b := range outside {
-			links = append(links, a.links[b], b.links[a])
-		}
+	silence := (*way).silence
+	if w.random.IntN(2) == 0 {
+		silence = (*way).swallow
 	}
+	links := linksBetween(w.centre())
 	for _, link := range links {
-		link.silence()
+		silence(link)
 	}
 	return func() {
 		for _, link := range links {
@@ -230,3 +248,13 @@
 		}
 	}
 }
+
+func linksBetween(inside, outside []*host) []*way {
+	var links []*way
+	for _, a := range inside {
+		for _, b := range outside {
+			links = append(links, a.links[b], b.links[a])
+		}
+	}
+	return links
+}
--- a/e2e/cuts/way_test.go
+++ b/e2e/cuts/way_test.go
@@ -45,6 +45,8 @@
 	cut
 	// silent gives no answer.
 	silent
+	// swallowing accepts them and discards their data.
+	swallowing
 )
 
 // wayConn is one end of a connection on a way.
@@ -52,6 +54,8 @@
 	net.Conn
 	way    *way
 	silent atomic.Bool
+	// dead is set once data was discarded.
+	dead atomic.Bool
 }
 
 func newWay(t *testing.T) *way {
@@ -117,6 +121,8 @@
 		c.silence(true)
 	case cut:
 		c.resetLocked()
+	case swallowing:
+		c.dead.Store(true)
 	}
 	return c
 }
@@ -161,7 +167,25 @@
 	}
 }
 
-// restore ends a cut or a silence.
+// swallow discards all data, which the kernel still acknowledges, those of new connections
+// included. A connection that was open meanwhile stays dead.
+func (w *way) swallow() {
+	w.swallowOpen()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state = swallowing
+}
+
+// swallowOpen discards all later data of the open connections.
+func (w *way) swallowOpen() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.dead.Store(true)
+	}
+}
+
+// restore ends a cut, a silence or the swallowing.
 func (w *way) restore() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -221,9 +245,21 @@
 	}
 }
 
+func (c *wayConn) Read(data []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(data)
+		if err != nil || !c.dead.Load() {
+			return n, err
+		}
+	}
+}
+
 // Write waits as long as the kernel takes to deliver a segment that was first sent during
 // a silence.
 func (c *wayConn) Write(data []byte) (int, error) {
+	if c.dead.Load() {
+		return len(data), nil
+	}
 	c.awaitRetransmission()
 	return c.Conn.Write(data)
 }
