Cuts: a data centre cut off from everything, and mixed troubles

A data centre loses the store and its links and comes back; links die, hosts freeze and lose the store in a random order while changes go on.

--- a/e2e/cuts/cuts_test.go
+++ b/e2e/cuts/cuts_test.go
@@ -60,6 +60,8 @@
 	{"hosts-frozen", freezeSome},
 	{"links-of-centre-silent", silenceLinks},
 	{"store-lost-while-links-silent", loseStoreWhileLinksSilent},
+	{"centre-isolated", isolateCentre},
+	{"mixed", mixTroubles},
 }
 
 func TestChangesAreInForceInTime(t *testing.T) {
@@ -107,7 +109,7 @@
 
 func turnCentreAway(w *world) {
 	inside, _ := w.centre()
-	w.turnAway(inside)
+	each(inside, w.turnAway)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 	w.pause(0, time.Second)
@@ -121,7 +123,7 @@
 	for _, link := range linksBetween(inside, outside) {
 		link.swallowOpen()
 	}
-	w.turnAway(inside)
+	each(inside, w.turnAway)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 }
@@ -143,16 +145,12 @@
 // again once they do.
 func loseStoreAtSome(w *world) {
 	hosts := w.some(3 + w.random.IntN(6))
-	for _, h := range hosts {
-		w.loseStore(h)
-	}
+	each(hosts, w.loseStore)
 	back := time.After(4*time.Second + time.Duration(w.random.Int64N(int64(5*time.Second))))
 	w.pause(0, 2*time.Second)
 	w.change()
 	<-back
-	for _, h := range hosts {
-		w.returnStore(h)
-	}
+	each(hosts, w.returnStore)
 	w.pause(0, time.Second)
 	w.change()
 }
@@ -160,16 +158,12 @@
 // freezeSome runs a series of changes while some hosts are frozen.
 func freezeSome(w *world) {
 	hosts := w.some(3)
-	for _, h := range hosts {
-		w.freeze(h)
-	}
+	each(hosts, w.freeze)
 	for range 8 {
 		w.pause(100*time.Millisecond, 900*time.Millisecond)
 		w.change()
 	}
-	for _, h := range hosts {
-		w.thaw(h)
-	}
+	each(hosts, w.thaw)
 	w.pause(0, time.Second)
 	w.change()
 }
@@ -177,7 +171,7 @@
 // silenceLinks runs a series of changes while the links between a data centre and the
 // others are silent.
 func silenceLinks(w *world) {
-	restore := w.silenceCentre()
+	restore := w.silenceLinks(linksBetween(w.centre()))
 	for range 6 {
 		w.pause(100*time.Millisecond, 1500*time.Millisecond)
 		w.change()
@@ -191,18 +185,12 @@
 // centre and the others are silent, and changes the configuration before and after its
 // return.
 func loseStoreWhileLinksSilent(w *world) {
-	restore := w.silenceCentre()
-	for _, h := range w.hosts {
-		w.begin(&h.isolated)
-		w.loseStore(h)
-	}
+	restore := w.silenceLinks(linksBetween(w.centre()))
+	each(w.hosts, w.isolate)
 	w.pause(0, 3*time.Second)
 	w.change()
 	w.pause(0, 3*time.Second)
-	for _, h := range w.hosts {
-		w.returnStore(h)
-		w.end(&h.isolated)
-	}
+	each(w.hosts, w.rejoin)
 	for range 3 {
 		w.pause(0, 2*time.Second)
 		w.change()
@@ -210,35 +198,92 @@
 	restore()
 }
 
-// turnAway makes the store turn the hosts away.
-func (w *world) turnAway(hosts []*host) {
+// isolateCentre cuts a data centre off from the store and the others and runs changes
+// before and after its return.
+func isolateCentre(w *world) {
+	inside, outside := w.centre()
+	restore := w.silenceLinks(linksBetween(inside, outside))
+	each(inside, w.isolate)
+	w.pause(0, 3*time.Second)
+	w.change()
+	w.pause(3*time.Second, 6*time.Second)
+	restore()
+	each(inside, w.rejoin)
+	w.pause(4*time.Second, 5*time.Second)
+	w.change()
+}
+
+// mixTroubles runs a series of changes while links die, hosts freeze, and some hosts lose the
+// store and get it back.
+func mixTroubles(w *world) {
+	var lost []*host
+	for range 10 {
+		switch w.random.IntN(3) {
+		case 0:
+			for _, link := range linksBetween(w.centre()) {
+				link.swallowOpen()
+			}
+		case 1:
+			frozen := w.some(1 + w.random.IntN(3))
+			each(frozen, w.freeze)
+			w.pause(0, 1500*time.Millisecond)
+			each(frozen, w.thaw)
+		case 2:
+			each(lost, w.returnStore)
+			lost = w.some(w.random.IntN(len(w.hosts)))
+			each(lost, w.loseStore)
+		}
+		w.pause(100*time.Millisecond, time.Second)
+		w.change()
+	}
+}
+
+func each(hosts []*host, do func(*host)) {
 	for _, h := range hosts {
-		w.begin(&h.away)
-		h.front.turnAway()
+		do(h)
 	}
 }
 
-// loseStore cuts the host's way to the store, makes it silent or lets it swallow all data.
+// turnAway makes the store turn the host away.
+func (w *world) turnAway(h *host) {
+	w.begin(&h.away)
+	h.front.turnAway()
+}
+
+// loseStore makes the store turn the host away, or cuts the way to it, makes that silent or
+// lets it swallow all data.
 func (w *world) loseStore(h *host) {
 	w.begin(&h.away)
-	lose := []func(*way){(*way).cut, (*way).silence, (*way).swallow}
-	lose[w.random.IntN(len(lose))](h.front.way)
+	way := h.front.way
+	lose := []func(){h.front.turnAway, way.cut, way.silence, way.swallow}
+	lose[w.random.IntN(len(lose))]()
 }
 
 // returnStore ends loseStore.
 func (w *world) returnStore(h *host) {
+	h.front.away.Store(false)
 	assert.NilError(w.t, h.front.way.restore())
 	w.end(&h.away)
 }
 
-// silenceCentre makes the links between a random data centre and the others silent, or lets
-// them swallow all data.
-func (w *world) silenceCentre() (restore func()) {
+// isolate is loseStore for a host that no other host which reaches the store can reach.
+func (w *world) isolate(h *host) {
+	w.begin(&h.isolated)
+	w.loseStore(h)
+}
+
+// rejoin ends isolate.
+func (w *world) rejoin(h *host) {
+	w.returnStore(h)
+	w.end(&h.isolated)
+}
+
+// silenceLinks makes the links silent, or lets them swallow all data.
+func (w *world) silenceLinks(links []*way) (restore func()) {
 	silence := (*way).silence
 	if w.random.IntN(2) == 0 {
 		silence = (*way).swallow
 	}
-	links := linksBetween(w.centre())
 	for _, link := range links {
 		silence(link)
 	}
@@ -249,6 +294,7 @@
 	}
 }
 
+// linksBetween returns the links between the hosts of the two groups.
 func linksBetween(inside, outside []*host) []*way {
 	var links []*way
 	for _, a := range inside {
