Cuts: a loopback address for each host and way

Ports on one address collided between parallel runs: 100 of a world's ports were free for a moment between their choice and the start of the daemon, and a way that is cut gives its port up.

--- a/e2e/cuts/way_test.go
+++ b/e2e/cuts/way_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 	"unsafe"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -60,7 +62,8 @@
 
 func newWay(t *testing.T) *way {
 	t.Helper()
-	listener := listenFree(t)
+	listener, err := listen(randomIP() + ":8000")
+	assert.NilError(t, err)
 	w := &way{address: listener.Addr().String(), listener: listener, done: make(chan struct{}), conns: map[*wayConn]bool{}}
 	t.Cleanup(func() { _ = w.Close() })
 	return w
--- a/e2e/cuts/world_test.go
+++ b/e2e/cuts/world_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -31,6 +30,7 @@
 const (
 	centreCount    = 3
 	hostsPerCentre = 3
+	peerPort       = 8004
 	// requestPeriod is the pause between two requests of one rule at one host.
 	requestPeriod = 50 * time.Millisecond
 	// requestDeadline is the deadline of each request.
@@ -63,6 +63,7 @@
 
 type host struct {
 	name, centre, service           string
+	ip                              string
 	outer, ready, announce, peering string
 	server                          *fake.Server
 	front                           *front
@@ -84,30 +85,10 @@
 	away      atomic.Bool
 }
 
-var usedPorts sync.Map
-
-// listenFree listens on a port below the kernel's range for outgoing connections. All ports
-// have five digits.
-func listenFree(t *testing.T) *net.TCPListener {
-	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
-		if _, taken := usedPorts.LoadOrStore(address, true); taken {
-			continue
-		}
-		if listener, err := listen(address); err == nil {
-			return listener
-		}
-	}
-	t.Fatal("found no free port")
-	return nil
-}
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener := listenFree(t)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// randomIP returns an address of the loopback network that nothing else is likely to use, nor
+// any outgoing connection.
+func randomIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), 1+rand.IntN(254), 1+rand.IntN(254))
 }
 
 // newWorld starts the daemons and sends requests to them until the test ends.
@@ -143,13 +124,14 @@
 }
 
 func (w *world) addHost(i int) {
+	ip := randomIP()
 	h := &host{
 		name: fmt.Sprintf("host-%d", i), centre: fmt.Sprintf("centre-%d", i/hostsPerCentre), service: w.services[i%len(w.services)],
-		outer: freeAddress(w.t), ready: freeAddress(w.t), announce: freeAddress(w.t), peering: freeAddress(w.t),
+		ip: ip, outer: ip + ":8001", ready: ip + ":8002", announce: ip + ":8003", peering: fmt.Sprintf("%s:%d", ip, peerPort),
 		links: map[*host]*way{},
 	}
 	server, err := fake.NewServer(fake.ServerConfig{
-		Service: h.service, Address: "127.0.0.1:0", Instance: "i-" + h.name, Slots: 16, Work: 2 * time.Millisecond, HeartbeatPeriod: 200 * time.Millisecond,
+		Service: h.service, Address: ip + ":8005", Instance: "i-" + h.name, Slots: 16, Work: 2 * time.Millisecond, HeartbeatPeriod: 200 * time.Millisecond,
 	})
 	assert.NilError(w.t, err)
 	w.t.Cleanup(server.Close)
@@ -181,12 +163,11 @@
 func (w *world) start(h *host) {
 	dir := w.t.TempDir()
 	settings := filepath.Join(dir, "settings.hujson")
-	_, port, _ := net.SplitHostPort(h.peering)
-	text := fmt.Sprintf(`{"host": %q, "data-centre": %q, "region": "r", "ip": "127.0.0.1", "service": %q,
+	text := fmt.Sprintf(`{"host": %q, "data-centre": %q, "region": "r", "ip": %q, "service": %q,
 "outer-address": %q, "ready-address": %q, "announce-address": %q, "server-address": %q,
-"peer-port": %s, "peer-address": %q, "metrics-port": 0, "platform-address": %q, "memory-mb": 200, "heartbeat-s": 0.5, "grace-s": 6,
+"peer-port": %d, "peer-address": %q, "metrics-port": 0, "platform-address": %q, "memory-mb": 200, "heartbeat-s": 0.5, "grace-s": 6,
 "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 48}`,
-		h.name, h.centre, h.service, h.outer, h.ready, h.announce, h.server.Address(), port, h.peering, h.front.way.address)
+		h.name, h.centre, h.ip, h.service, h.outer, h.ready, h.announce, h.server.Address(), peerPort, h.peering, h.front.way.address)
 	assert.NilError(w.t, os.WriteFile(settings, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(dir, "log"))
 	assert.NilError(w.t, err)
