--- a/e2e/cuts/cuts_test.go
+++ b/e2e/cuts/cuts_test.go
@@ -120,22 +120,25 @@
 // before the store turns the data centre away; new links work.
 func turnCentreAwayBehindDeadLinks(w *world) {
 	inside, outside := w.centre()
+	dead := 0
 	for _, link := range linksBetween(inside, outside) {
-		link.swallowOpen()
+		dead += link.swallowOpen()
 	}
+	w.t.Logf("%d ends of links of %s dead", dead, inside[0].centre)
 	each(inside, w.turnAway)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 }
 
 func silenceOpenStoreConnections(w *world) {
-	silence := (*way).silenceOpen
-	if w.random.IntN(2) == 0 {
-		silence = (*way).swallowOpen
-	}
+	swallow := w.random.IntN(2) == 0
 	for _, h := range w.hosts {
 		w.begin(&h.away)
-		silence(h.front.way)
+		if swallow {
+			h.front.way.swallowOpen()
+		} else {
+			h.front.way.silenceOpen()
+		}
 	}
 	w.pause(0, 500*time.Millisecond)
 	w.change()
--- a/e2e/cuts/way_test.go
+++ b/e2e/cuts/way_test.go
@@ -179,13 +179,15 @@
 	w.state = swallowing
 }
 
-// swallowOpen discards all later data of the open connections.
-func (w *way) swallowOpen() {
+// swallowOpen discards all later data of the open connections. It returns the number of
+// their ends.
+func (w *way) swallowOpen() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c := range w.conns {
 		c.dead.Store(true)
 	}
+	return len(w.conns)
 }
 
 // restore ends a cut, a silence or the swallowing.
--- a/e2e/cuts/world_test.go
+++ b/e2e/cuts/world_test.go
@@ -31,6 +31,8 @@
 	centreCount    = 3
 	hostsPerCentre = 3
 	peerPort       = 8004
+	// maxBody is the size of a long body in bytes.
+	maxBody = 32 << 10
 	// requestPeriod is the pause between two requests of one rule at one host.
 	requestPeriod = 50 * time.Millisecond
 	// requestDeadline is the deadline of each request.
@@ -53,6 +55,9 @@
 	// services are all services or, so that no request needs to leave its data centre, as
 	// many as a data centre has hosts.
 	services []string
+	// body is the body of all requests; long ones fill the buffers of links to hosts that do
+	// not read.
+	body string
 	// read is the service of the rule that does not change.
 	read string
 
@@ -95,6 +100,7 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 0)), store: fake.NewStore()}
 	w.services = allServices[:hostsPerCentre+w.random.IntN(2)]
+	w.body = strings.Repeat("b", 1+w.random.IntN(2)*maxBody)
 	w.read = w.services[w.random.IntN(len(w.services))]
 	w.change()
 	for i := range centreCount * hostsPerCentre {
@@ -108,7 +114,7 @@
 	}
 	w.awaitAll("readiness", (*host).isReady)
 	time.Sleep(discoveryTime)
-	w.awaitAll("service", (*host).serves)
+	w.awaitAll("service", w.isServed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var requests sync.WaitGroup
 	for _, h := range w.hosts {
@@ -271,16 +277,17 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (h *host) serves() bool {
+// isServed reports whether the host serves requests of both rules.
+func (w *world) isServed(h *host) bool {
 	client := &http.Client{Timeout: requestDeadline}
-	return send(client, h, http.MethodGet, "/read/x").status == http.StatusOK && send(client, h, http.MethodPost, "/write/x").status == http.StatusOK
+	return w.send(client, h, http.MethodGet, "/read/x").status == http.StatusOK && w.send(client, h, http.MethodPost, "/write/x").status == http.StatusOK
 }
 
 func (w *world) sendRequests(ctx context.Context, h *host, method, path string) {
 	client := &http.Client{Transport: &http.Transport{}, Timeout: requestDeadline + requestDeadline/2}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		r := send(client, h, method, path)
+		r := w.send(client, h, method, path)
 		if method == http.MethodPost {
 			w.mu.Lock()
 			w.requests = append(w.requests, r)
@@ -290,9 +297,9 @@
 	}
 }
 
-func send(client *http.Client, h *host, method, path string) request {
+func (w *world) send(client *http.Client, h *host, method, path string) request {
 	r := request{host: h, id: fmt.Sprintf("attempt-%d", attempts.Add(1)), sent: time.Now()}
-	message, err := http.NewRequest(method, "http://"+h.outer+path, strings.NewReader("body"))
+	message, err := http.NewRequest(method, "http://"+h.outer+path, strings.NewReader(w.body))
 	if err != nil {
 		return r
 	}
