--- a/e2e/cuts/cuts_test.go
+++ b/e2e/cuts/cuts_test.go
@@ -53,8 +53,8 @@
 	name  string
 	cause func(w *world)
 }{
-	{"store-turns-centre-away", turnCentreAway},
-	{"store-turns-centre-away-behind-dead-links", turnCentreAwayBehindDeadLinks},
+	{"store-turns-centres-away", turnCentresAway},
+	{"store-turns-centres-away-behind-dead-links", turnCentresAwayBehindDeadLinks},
 	{"open-store-connections-silent", silenceOpenStoreConnections},
 	{"store-lost-to-some-hosts", loseStoreAtSome},
 	{"hosts-frozen", freezeSome},
@@ -107,25 +107,34 @@
 	return chosen
 }
 
-func turnCentreAway(w *world) {
-	inside, _ := w.centre()
-	each(inside, w.turnAway)
+// split returns the hosts of one data centre and of the others, or the reverse.
+func (w *world) split() (a, b []*host) {
+	inside, outside := w.centre()
+	if w.random.IntN(2) == 0 {
+		return outside, inside
+	}
+	return inside, outside
+}
+
+func turnCentresAway(w *world) {
+	away, _ := w.split()
+	each(away, w.turnAway)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 	w.pause(0, time.Second)
 	w.change()
 }
 
-// turnCentreAwayBehindDeadLinks kills the open links between a data centre and the others
-// before the store turns the data centre away; new links work.
-func turnCentreAwayBehindDeadLinks(w *world) {
-	inside, outside := w.centre()
+// turnCentresAwayBehindDeadLinks kills the open links between some data centres and the
+// others before the store turns these away; new links work.
+func turnCentresAwayBehindDeadLinks(w *world) {
+	away, others := w.split()
 	dead := 0
-	for _, link := range linksBetween(inside, outside) {
+	for _, link := range linksBetween(away, others) {
 		dead += link.swallowOpen()
 	}
-	w.t.Logf("%d ends of links of %s dead", dead, inside[0].centre)
-	each(inside, w.turnAway)
+	w.t.Logf("%d ends of links dead, %d hosts turned away", dead, len(away))
+	each(away, w.turnAway)
 	w.pause(0, 1500*time.Millisecond)
 	w.change()
 }
--- a/e2e/cuts/world_test.go
+++ b/e2e/cuts/world_test.go
@@ -33,8 +33,10 @@
 	peerPort       = 8004
 	// maxBody is the size of a long body in bytes.
 	maxBody = 32 << 10
-	// requestPeriod is the pause between two requests of one rule at one host.
-	requestPeriod = 50 * time.Millisecond
+	// shortPause and longPause are the pauses between two requests of one rule at one host.
+	// The fewer requests, the fewer links lead out of a data centre.
+	shortPause = 50 * time.Millisecond
+	longPause  = 250 * time.Millisecond
 	// requestDeadline is the deadline of each request.
 	requestDeadline = time.Second
 	startTimeout    = 15 * time.Second
@@ -58,6 +60,8 @@
 	// body is the body of all requests; long ones fill the buffers of links to hosts that do
 	// not read.
 	body string
+	// pausing is the pause between two requests.
+	pausing time.Duration
 	// read is the service of the rule that does not change.
 	read string
 
@@ -101,6 +105,7 @@
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 0)), store: fake.NewStore()}
 	w.services = allServices[:hostsPerCentre+w.random.IntN(2)]
 	w.body = strings.Repeat("b", 1+w.random.IntN(2)*maxBody)
+	w.pausing = []time.Duration{shortPause, longPause}[w.random.IntN(2)]
 	w.read = w.services[w.random.IntN(len(w.services))]
 	w.change()
 	for i := range centreCount * hostsPerCentre {
@@ -293,7 +298,7 @@
 			w.requests = append(w.requests, r)
 			w.mu.Unlock()
 		}
-		time.Sleep(requestPeriod)
+		time.Sleep(w.pausing)
 	}
 }
 
