--- a/e2e/cuts/way_test.go
+++ b/e2e/cuts/way_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"runtime"
@@ -62,7 +64,7 @@
 
 func newWay(t *testing.T) *way {
 	t.Helper()
-	listener, err := listen(randomIP() + ":8000")
+	listener, err := listen(fmt.Sprintf("%s:%d", randomIP(), 10_000+rand.IntN(20_000)))
 	assert.NilError(t, err)
 	w := &way{address: listener.Addr().String(), listener: listener, done: make(chan struct{}), conns: map[*wayConn]bool{}}
 	t.Cleanup(func() { _ = w.Close() })
