Entry: a request that a server failed has run

What callers saw: 503 and not-run for a request that a server had run: the server answered its first attempt with an error, the entry tried once more, and the second home refused. Since requests are routed anew, such a request could also be moved to a method that must not run twice.

Cause: an attempt counted as one that may have run only if it ended with a refusal.

Ruled out: answering with the server's error instead of the refusal, since the entry may have asked a third home meanwhile.

Why this works: the only place that repeats an answered attempt now marks it.

--- a/core/entry/retry.go
+++ b/core/entry/retry.go
@@ -114,7 +114,11 @@
 	if ctx.Err() != nil || !e.cfg.Timers.Now().Before(rs.call.Deadline) {
 		return false
 	}
-	return e.spendRetry(rs, &teaseltack.Refusal{})
+	if !e.spendRetry(rs, &teaseltack.Refusal{}) {
+		return false
+	}
+	rs.mayHaveRun = true
+	return true
 }
 
 // retryCost returns what a retry takes from its target's budget. A call that
