Link: pause before dialling a host that ends each connection

What callers saw: nothing yet; a daemon dialled a host without any pause while each connection opened and ended at once, as behind a proxy whose daemon is gone or at a host without room for connections. Links that are kept without calls made this happen without any call.

Cause: the delay before the next attempt held for attempts that failed. A connection that had opened was dialled anew at once when it ended.

Ruled out: a delay after each lost connection, which would cost calls after a reset up to 0.5 s.

Why this works: a connection that ended within 0.5 s and carried no frame from its host counts as a failed attempt. A working host answers the ping at once.

--- a/io/link/conn.go
+++ b/io/link/conn.go
@@ -56,6 +56,9 @@
 	slot, memory *usage.Holder
 	// lastNumber is the number of the last call that was sent.
 	lastNumber atomic.Uint64
+	// opened is when the connection was opened, answered is set once a frame was received.
+	opened   time.Time
+	answered atomic.Bool
 	// lastReceived is when the last frame was received, in Unix nanoseconds.
 	lastReceived atomic.Int64
 
@@ -124,7 +127,7 @@
 }
 
 func newConn(l *Links, nc net.Conn, p *peer) *conn {
-	c := &conn{links: l, nc: nc, peer: p, outgoing: map[uint64]*outgoingCall{}, incoming: map[uint64]context.CancelFunc{}, unconfirmed: map[uint64]chan struct{}{}}
+	c := &conn{links: l, nc: nc, peer: p, opened: l.cfg.Timers.Now(), outgoing: map[uint64]*outgoingCall{}, incoming: map[uint64]context.CancelFunc{}, unconfirmed: map[uint64]chan struct{}{}}
 	c.markReceived()
 	if p == nil {
 		c.slot, c.memory = l.cfg.Connections.Enter(c.evictIdle), l.cfg.CallMemory.Enter(c.evictIdle)
--- a/io/link/contacts_test.go
+++ b/io/link/contacts_test.go
@@ -108,3 +108,26 @@
 		})
 	}
 }
+
+// Guards against a host that is dialled all the time because each connection to it opens and
+// ends at once, as at a host without room.
+func TestAHostThatEndsEachConnectionIsDialledWithPauses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var accepted atomic.Int64
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_ = nc.Close()
+		}
+	}()
+	a := newNode(t, "a")
+	a.links.SetRecords([]teaseltack.Record{a.record, {Host: "b", DataCentre: "b", PeerAddress: listener.Addr().String()}})
+	time.Sleep(3 * time.Second)
+	assert.Assert(t, accepted.Load() > 0 && accepted.Load() <= 10, "%d connections in 3 s", accepted.Load())
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -24,7 +24,8 @@
 	// connectWait is how long a call waits for a connection before its entry
 	// tries another home.
 	connectWait = 250 * time.Millisecond
-	// redialDelay is the delay after a failed attempt to connect to a host.
+	// redialDelay is the delay after a failed attempt to connect to a host, or after a
+	// connection that ended at once.
 	redialDelay = 500 * time.Millisecond
 	// comparePeriod is the period of comparing configuration generations with other
 	// hosts.
--- a/io/link/peer.go
+++ b/io/link/peer.go
@@ -191,11 +191,23 @@
 	}
 	p.conn = nil
 	if !p.removed && l.peers[p.record.Host] == p {
-		l.startDial(p)
+		l.redial(p, c)
 	}
 	return true
 }
 
+// redial starts dialling after a connection was lost, with a delay if it ended at once and
+// carried nothing. The caller holds l.mu.
+func (l *Links) redial(p *peer, lost *conn) {
+	if lost.answered.Load() || p.dialling || l.closed || l.cfg.Timers.Now().Sub(lost.opened) >= redialDelay {
+		l.startDial(p)
+		return
+	}
+	p.dialling = true
+	p.firstAttemptDone = make(chan struct{})
+	l.cfg.Timers.After(redialDelay, func() { l.dial(p) })
+}
+
 // probeDataCentre pings all connected hosts of a data centre after one of them fell
 // silent, so that a partition is detected before a call to each host has to time
 // out.
--- a/io/link/receive.go
+++ b/io/link/receive.go
@@ -38,6 +38,7 @@
 			c.close(err)
 			return
 		}
+		c.answered.Store(true)
 		c.markReceived()
 		if r.refused != nil {
 			c.refuseFrame(r.frame, r.refused)
