Follower: decode and count a document of another host once

What callers saw: nothing yet; each copy of a document from another host was decoded, 24 ms for one of 730 KB, on the goroutine that reads that host's connection, and if the watch was late, each copy counted as a missed change, after which the key and all records of hosts are read again.

Cause: Adopt ignored the generation that comes with the document.

Evidence: TestCopiesOfOneDocumentCountAsOneMissedChange failed before, 25 missed changes for 25 copies, and passes now.

Ruled out: counting per generation in checkWatch, which would still decode each copy.

Why this works: a document that is not newer than the one in force is dropped before it is decoded.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -175,8 +175,12 @@
 	return f.failing.Load()
 }
 
-// Adopt puts a document from another daemon into force if it is newer.
-func (f *Follower) Adopt(_ teaseltack.Generation, document []byte) {
+// Adopt puts a document from another daemon into force if it is newer. The generation is
+// the one that the daemon names for it.
+func (f *Follower) Adopt(generation teaseltack.Generation, document []byte) {
+	if current, _ := f.Current(); generation <= current {
+		return
+	}
 	f.apply(document, fromPeer)
 }
 
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -537,3 +537,20 @@
 	t.Logf("%.3f reads/s of a host", perSecond)
 	assert.Assert(t, perSecond <= 0.35, "%.3f reads/s of a host", perSecond)
 }
+
+// Guards against a host that reads everything again for each copy of a document.
+func TestCopiesOfOneDocumentCountAsOneMissedChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{changed: make(chan struct{}), value: "1", revision: 1}
+		var missed atomic.Int64
+		f := run(t, follow.Config{Rand: random.Seeded(1), Store: store, OnMissedChange: func() { missed.Add(1) }})
+		time.Sleep(time.Second)
+		store.breakWatch()
+		for range 25 {
+			f.Adopt(2, []byte("2"))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, missed.Load(), int64(1))
+	})
+}
