Follower: a poll that fails ends the watch

What callers saw: a host whose calls to the store are swallowed took its configuration for the newest one until its watch ended, after 18.1 s, and asked one other host a second meanwhile, most of them of its own data centre.

Cause: only reads and watches of Run made the configuration count as stale; a failed poll did nothing.

Evidence: TestAHostWhosePollsFailIsStaleSoon failed before, "not stale after 7s", and passes now.

Ruled out: the user timeout of the connection, which does not end it where something on the way acknowledges.

Why this works: an open watch is ended and the key is read; if that fails too, the host is stale and compares with hosts of all data centres. The price is one read for each failed poll.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -128,6 +128,11 @@
 	case f.recovered <- struct{}{}:
 	default:
 	}
+	f.endWatch()
+}
+
+// endWatch ends an open watch, whose connection may be lost, so that the key is read again.
+func (f *Follower) endWatch() {
 	if a := f.latest.Load(); a != nil && a.watch {
 		a.cancel()
 	}
@@ -261,6 +266,9 @@
 		if f.ctx.Err() == nil {
 			f.cfg.OnStoreResult("poll", err)
 		}
+		if err != nil {
+			f.endWatch()
+		}
 		f.applyItems(items, fromPoll)
 	}
 }
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -538,6 +538,21 @@
 	assert.Assert(t, perSecond <= 0.35, "%.3f reads/s of a host", perSecond)
 }
 
+// Guards against a host that takes its configuration for the newest one while its reads fail.
+func TestAHostWhosePollsFailIsStaleSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{changed: make(chan struct{}), value: "1", revision: 1}
+		f := startPolling(t, store, 2*time.Second)
+		time.Sleep(time.Second)
+		begin := time.Now()
+		store.swallow()
+		for !f.MayBeStale() {
+			assert.Assert(t, time.Since(begin) < 7*time.Second, "not stale after %v", time.Since(begin))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against a host that reads everything again for each copy of a document.
 func TestCopiesOfOneDocumentCountAsOneMissedChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
