Gate: size it by the newest server and configuration

What callers saw: nothing shown; a backend server could get more connections than the configuration in force allows, or fewer, until its state or the configuration changed.

Cause: a heartbeat and a new configuration each read the other's part and set the gate's size without an order, so the one that had read first could set it last.

Ruled out: the gate itself, which applies sizes in the order of its calls.

Why this works: a lock covers reading both parts and setting the size, as for the server's state.

--- a/io/side/server.go
+++ b/io/side/server.go
@@ -56,7 +56,7 @@
 		s.pool.Reset()
 	}
 	s.pool.SetAddress(s.settings.ServerAddress)
-	s.resize(server, change == health.Started)
+	s.resize(change == health.Started)
 	s.applyServing()
 	if server.Serving == teaseltack.Leaving {
 		s.writeTombstone(health.Tombstone{Instance: server.Instance, BornMs: server.BornMs})
@@ -247,7 +247,10 @@
 	return serving
 }
 
-func (s *Sidecar) resize(server health.Server, cold bool) {
+func (s *Sidecar) resize(cold bool) {
+	s.resizing.Lock()
+	defer s.resizing.Unlock()
+	server := s.tracker.Server()
 	if server.Slots == 0 {
 		return
 	}
--- a/io/side/side.go
+++ b/io/side/side.go
@@ -149,7 +149,10 @@
 	// servingMu serialises the updates of the server's state in the home and in the
 	// own record.
 	servingMu sync.Mutex
-	stops     []func()
+	// resizing serialises the updates of the gate's size, so that the last one applies the
+	// newest server and configuration.
+	resizing sync.Mutex
+	stops    []func()
 }
 
 // New returns a daemon whose listeners are open; Run serves them.
@@ -264,7 +267,7 @@
 // onConfig is called after a configuration has come into force, not for one that was
 // replaced meanwhile.
 func (s *Sidecar) onConfig(*rules.Table) {
-	s.resize(s.tracker.Server(), false)
+	s.resize(false)
 	s.links.NotifyPeers()
 }
 
