Roster: a lost renewal costs no list of all records

What callers saw: nothing yet; each renewal of the lease that failed once made its host read all records again, since the watch is opened anew when the store has recovered.

Cause: a single failed call counted as an outage.

Ruled out: leaving the watch open in an outage, which is the fault that opening it anew fixes.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -323,9 +323,10 @@
 	}
 }
 
-// storeRecovered ends the watch's retry delay, or a watch that is open, whose connection may
-// have been lost, and calls OnRecover.
-func (r *Roster) storeRecovered() {
+// storeRecovered ends the watch's retry delay and calls OnRecover. After an outage it also
+// ends a watch that is open, whose connection may have been lost; a single call that failed
+// is none.
+func (r *Roster) storeRecovered(outage bool) {
 	select {
 	case r.wakeWatch <- struct{}{}:
 	default:
@@ -333,7 +334,7 @@
 	r.mu.Lock()
 	watching := r.watching
 	r.mu.Unlock()
-	if watching {
+	if watching && outage {
 		r.Refresh()
 	}
 	if r.cfg.OnRecover != nil {
--- a/core/roster/writer.go
+++ b/core/roster/writer.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if failures > 0 {
-			r.storeRecovered()
+			r.storeRecovered(failures > 1)
 		}
 		failures = 0
 		w.wait()
