Contacts: a small data centre is not chosen by every host

What callers saw: nothing; at 1,200 hosts in four data centres, the only host of a fifth had 1,200 connections of hosts that keep contacts with it, 19 MB of buffers.

Cause: each host kept links to two hosts of every data centre, whatever their number.

Ruled out: choosing by the small data centre alone: its hosts could then only ask, and a change of theirs would reach the others as late as they ask.

--- a/core/contacts/contacts_test.go
+++ b/core/contacts/contacts_test.go
@@ -61,3 +61,35 @@
 		assert.Assert(t, count < 20, "%d of %d hosts chose %s, 2 are the mean", count, len(records), host)
 	}
 }
+
+// Guards against a small data centre whose hosts are the contacts of all others.
+func TestASmallDataCentreIsNotChosenByAll(t *testing.T) {
+	for _, small := range []int{1, 2, 5} {
+		var records []teaseltack.Record
+		for i := range 1200 {
+			records = append(records, teaseltack.Record{Host: teaseltack.HostID(fmt.Sprintf("host-%d", i)), DataCentre: teaseltack.DataCentre(fmt.Sprintf("large-%d", i%4))})
+		}
+		for i := range small {
+			records = append(records, teaseltack.Record{Host: teaseltack.HostID(fmt.Sprintf("small-%d", i)), DataCentre: "small"})
+		}
+		chosenBy, choosing := map[teaseltack.HostID]int{}, map[teaseltack.DataCentre]int{}
+		for _, r := range records {
+			for _, ofDataCentre := range contacts.Choose(r.Host, records, 2) {
+				for _, contact := range ofDataCentre {
+					chosenBy[contact.Host]++
+				}
+				if ofDataCentre[0].DataCentre == "small" {
+					choosing[r.DataCentre]++
+				}
+			}
+		}
+		for i := range small {
+			host := teaseltack.HostID(fmt.Sprintf("small-%d", i))
+			assert.Assert(t, chosenBy[host] <= 4*40, "%s is the contact of %d hosts", host, chosenBy[host])
+		}
+		for i := range 4 {
+			name := teaseltack.DataCentre(fmt.Sprintf("large-%d", i))
+			assert.Assert(t, choosing[name] >= 16, "%d hosts of %s have contacts in the small data centre of %d", choosing[name], name, small)
+		}
+	}
+}
