--- a/io/link/stalled_test.go
+++ b/io/link/stalled_test.go
@@ -190,11 +190,13 @@
 	slow := listenOnPipes(t, n).dial(t)
 	slow.reader = bufio.NewReader(slowConn{slow.conn})
 	const bursts, size = 5, 10
+	// Some bodies are long enough to be queued as parts of their own.
+	body := func(i uint64) []byte { return bytes.Repeat([]byte{'a' + byte(i)}, 10<<10<<(3*(i%2))) }
 	for range bursts {
 		go func() {
 			for i := range uint64(size) {
 				c := call(strconv.FormatUint(i, 10), false)
-				c.Payload.Body = bytes.Repeat([]byte{'a' + byte(i)}, 10<<10)
+				c.Payload.Body = body(i)
 				slow.write(t, &peerv1.Frame{Number: i, Call: wire.Codec{}.CallOut("a", c, time.Now())})
 				time.Sleep(2 * time.Millisecond)
 			}
@@ -203,7 +205,7 @@
 		for len(answered) < size {
 			frame := slow.read(t)
 			answered[frame.Number] = true
-			assert.Assert(t, bytes.Equal(frame.GetAnswer().GetBody(), bytes.Repeat([]byte{'a' + byte(frame.Number)}, 10<<10)), "answer %d differs", frame.Number)
+			assert.Assert(t, bytes.Equal(frame.GetAnswer().GetBody(), body(frame.Number)), "answer %d differs", frame.Number)
 		}
 	}
 }
--- a/io/side/listeners.go
+++ b/io/side/listeners.go
@@ -93,7 +93,7 @@
 
 // Addresses holds the listen addresses of a daemon.
 type Addresses struct {
-	Outer, Ready, Announce, Metrics string
+	Outer, Ready, Announce, Metrics, Peers string
 }
 
 // Addresses returns the addresses that the daemon listens on, with the ports that
@@ -102,6 +102,7 @@
 	return Addresses{
 		Outer: s.listeners.outer.Addr().String(), Ready: s.listeners.ready.Addr().String(),
 		Announce: s.listeners.announce.Addr().String(), Metrics: s.listeners.metrics.Addr().String(),
+		Peers: s.listeners.peers.Addr().String(),
 	}
 }
 
--- a/io/side/world_test.go
+++ b/io/side/world_test.go
@@ -78,7 +78,13 @@
 	timeout               float64
 }
 
+// configure makes the rules the operators' configuration.
 func (tb *testbed) configure(rules ...rule) {
+	tb.store.PutAsOperator(platform.ConfigKey, tb.nextDocument(rules...))
+}
+
+// nextDocument returns the rules as the document of the next version.
+func (tb *testbed) nextDocument(rules ...rule) []byte {
 	tb.version++
 	services := map[string]bool{}
 	var encoded, clusters []string
@@ -90,8 +96,8 @@
 	for name := range services {
 		clusters = append(clusters, fmt.Sprintf(`{"name":%q,"health_path":"/health","max_conns":%d}`, name, cmp.Or(tb.maxConnections, 100)))
 	}
-	tb.store.PutAsOperator(platform.ConfigKey, fmt.Appendf(nil, `{"version":"%08x","limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"a.example","rules":[%s]}],"clusters":[%s]}`,
-		tb.version, strings.Join(encoded, ","), strings.Join(clusters, ",")))
+	return fmt.Appendf(nil, `{"version":"%08x","limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"a.example","rules":[%s]}],"clusters":[%s]}`,
+		tb.version, strings.Join(encoded, ","), strings.Join(clusters, ","))
 }
 
 // storeFront passes the calls of one host on to the store, unless the store turns the host
