Gossip: keep the notice that arrives while a document is fetched

What callers saw: nothing on the users' platform, which does not use this mode. In the stand-alone mode a change came later to a daemon that was fetching the document from a frozen host.

Cause: one document is fetched at a time, and notices of others were dropped meanwhile, for up to 0.9 s each time.

Ruled out: fetching from several hosts at once, which costs each change a document per host.

Why this works: the last notice waits until the fetch ends, and is fetched then if it is still newer.

--- a/core/gossip/gossip.go
+++ b/core/gossip/gossip.go
@@ -72,9 +72,12 @@
 	// while OnUnreachable is called.
 	reported  map[teaseltack.DataCentre]bool
 	reporting bool
-	// inProgress holds the addresses of the exchanges in progress, and "document"
-	// while a document is being fetched.
+	// inProgress holds the addresses of the exchanges in progress.
 	inProgress map[string]bool
+	// fetching is set while a document is being fetched, waiting is the last notice that
+	// arrived meanwhile.
+	fetching bool
+	waiting  *notice
 	// contacted is set once another daemon has answered or called.
 	contacted  bool
 	cachedView *view
@@ -226,13 +229,19 @@
 	}
 }
 
-// fetch fetches a newer document, from one partner at a time.
+// notice names a partner and the newer generation that it has.
+type notice struct {
+	address    string
+	generation teaseltack.Generation
+}
+
+// fetch fetches a newer document, from one partner at a time. A notice that arrives
+// meanwhile waits, since the partner may be frozen; the last one is kept.
 func (g *Gossiper) fetch(ctx context.Context, address string, generation teaseltack.Generation) {
-	const document = "document"
-	if !g.tryBegin(document) {
+	if !g.tryFetch(notice{address, generation}) {
 		return
 	}
-	defer g.end(document)
+	defer g.endFetch()
 	known, _ := g.cfg.Generation()
 	if generation <= known {
 		return
@@ -243,6 +252,30 @@
 	}
 }
 
+// tryFetch reports whether no document is being fetched, and marks one as being fetched;
+// the caller calls endFetch if it returns true.
+func (g *Gossiper) tryFetch(n notice) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fetching {
+		g.waiting = &n
+		return false
+	}
+	g.fetching = true
+	return true
+}
+
+// endFetch ends a fetch and begins that of the notice that waits.
+func (g *Gossiper) endFetch() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fetching = false
+	if next := g.waiting; next != nil {
+		g.waiting = nil
+		go g.fetchFrom(next.address, next.generation)
+	}
+}
+
 // Receive applies an exchange that a peer started and returns the answer. A newer
 // document is fetched in the background.
 func (g *Gossiper) Receive(message teaseltack.Exchange) teaseltack.Exchange {
