Gossip test: read the reported data centres under a lock

The map of a test was read while a report of the gossiper wrote it: the race detector stopped TestADataCentreWithoutHostsIsForgotten in 2 of 3 runs of the package beside other jobs ("DATA RACE", the test's own map).

--- a/core/gossip/gossip_test.go
+++ b/core/gossip/gossip_test.go
@@ -33,12 +33,14 @@
 
 // node is the control plane of one daemon.
 type node struct {
-	fleet       *fleet
-	record      teaseltack.Record
-	members     *member.Table
-	holder      *active.Holder
-	gossiper    *gossip.Gossiper
-	watcher     *watch.Watcher
+	fleet    *fleet
+	record   teaseltack.Record
+	members  *member.Table
+	holder   *active.Holder
+	gossiper *gossip.Gossiper
+	watcher  *watch.Watcher
+	// reported guards unreachable.
+	reported    sync.Mutex
 	unreachable map[teaseltack.DataCentre]bool
 	// reportDelay is how long a report of an unreachable data centre takes.
 	reportDelay time.Duration
@@ -120,9 +122,18 @@
 	if unreachable {
 		time.Sleep(n.reportDelay)
 	}
+	n.reported.Lock()
+	defer n.reported.Unlock()
 	n.unreachable[name] = unreachable
 }
 
+// isUnreachable reports what setUnreachable was last told of the data centre.
+func (n *node) isUnreachable(name teaseltack.DataCentre) bool {
+	n.reported.Lock()
+	defer n.reported.Unlock()
+	return n.unreachable[name]
+}
+
 func (n *node) stop() {
 	n.fleet.mu.Lock()
 	n.dead = true
@@ -301,8 +312,8 @@
 		f.setPlatformDown(func(n *node) bool { return n.record.DataCentre == "dc2" })
 		time.Sleep(30 * time.Second)
 		f.assertKnown(12)
-		assert.Assert(t, f.nodes["h0-0"].unreachable["dc2"], "dc2 is not reported as unreachable")
-		assert.Assert(t, !f.nodes["h0-0"].unreachable["dc1"])
+		assert.Assert(t, f.nodes["h0-0"].isUnreachable("dc2"), "dc2 is not reported as unreachable")
+		assert.Assert(t, !f.nodes["h0-0"].isUnreachable("dc1"))
 		f.store.write(1)
 		time.Sleep(inForceBound)
 		assert.Equal(t, f.nodes["h2-0"].holder.Document().Generation, uint64(0))
@@ -311,7 +322,7 @@
 		f.setPlatformDown(func(*node) bool { return false })
 		time.Sleep(inForceBound)
 		f.assertGeneration(1)
-		assert.Assert(t, !f.nodes["h0-0"].unreachable["dc2"], "dc2 is still reported as unreachable")
+		assert.Assert(t, !f.nodes["h0-0"].isUnreachable("dc2"), "dc2 is still reported as unreachable")
 	})
 }
 
@@ -327,7 +338,7 @@
 		f.setDropped(func(_, _ *node) bool { return false })
 		time.Sleep(time.Minute)
 		assert.Equal(t, len(n.gossiper.Unreachable()), 0)
-		assert.Assert(t, !n.unreachable["dc1"], "dc1 is still reported as unreachable")
+		assert.Assert(t, !n.isUnreachable("dc1"), "dc1 is still reported as unreachable")
 	})
 }
 
@@ -337,7 +348,7 @@
 	withFleet(t, 2, 3, func(f *fleet) {
 		f.setDropped(func(from, to *node) bool { return from.record.DataCentre == "dc0" && to.record.DataCentre == "dc1" })
 		time.Sleep(30 * time.Second)
-		assert.Assert(t, f.nodes["h0-0"].unreachable["dc1"], "dc1 is not reported as unreachable")
+		assert.Assert(t, f.nodes["h0-0"].isUnreachable("dc1"), "dc1 is not reported as unreachable")
 		for host, n := range f.nodes {
 			if n.record.DataCentre != "dc1" {
 				continue
@@ -355,7 +366,7 @@
 		time.Sleep(10 * time.Second)
 		for _, host := range []string{"h0-0", "h0-1", "h0-2"} {
 			n := f.nodes[host]
-			assert.Assert(t, !n.unreachable["dc1"], "%s reports dc1 as unreachable", host)
+			assert.Assert(t, !n.isUnreachable("dc1"), "%s reports dc1 as unreachable", host)
 			assert.Equal(t, len(n.gossiper.Unreachable()), 0)
 		}
 	})
